--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,5 @@
+// Chooses the subcommand.
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
