--- /dev/null
+++ b/src/adapters/eventloop.cpp
@@ -0,0 +1,201 @@
+// The event loop on ACE_Dev_Poll_Reactor.
+#include "adapters/eventloop.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Log_Msg.h>
+#include <ace/Reactor.h>
+#include <algorithm>
+#include <csignal>
+
+namespace hibiscusbridge
+{
+
+namespace
+{
+
+constexpr Millis longestWait{200};
+
+volatile std::sig_atomic_t pendingSignals = 0;
+volatile std::sig_atomic_t lastSignal = 0;
+
+void countSignal(int signal)
+{
+    pendingSignals = pendingSignals + 1;
+    lastSignal = signal;
+}
+
+} // namespace
+
+struct EventLoop::Reactor {
+    ACE_Dev_Poll_Reactor implementation;
+    ACE_Reactor reactor{&implementation};
+};
+
+struct EventLoop::Handler : ACE_Event_Handler {
+    Handler(ACE_Reactor *reactor, int handledFd)
+        : ACE_Event_Handler(reactor)
+        , fd(handledFd)
+    {
+    }
+
+    ACE_HANDLE get_handle() const override
+    {
+        return fd;
+    }
+    int handle_input(ACE_HANDLE) override
+    {
+        return dispatch({.read = true});
+    }
+    int handle_output(ACE_HANDLE) override
+    {
+        return dispatch({.write = true});
+    }
+    int dispatch(FdInterest ready)
+    {
+        const auto keep = callback; // The callback may unwatch its own descriptor.
+        keep(ready);
+        return 0;
+    }
+
+    int fd;
+    FdInterest interest;
+    FdCallback callback;
+};
+
+EventLoop::EventLoop()
+    : m_clock(systemClock())
+    , m_reactor(std::make_unique<Reactor>())
+{
+    // ACE reports each interrupted wait on standard error, outside the process log.
+    ACE_Log_Msg::instance()->clr_flags(ACE_Log_Msg::STDERR);
+}
+
+EventLoop::~EventLoop()
+{
+    while (!m_handlers.empty()) {
+        unwatch(m_handlers.begin()->first);
+    }
+}
+
+TimerPort EventLoop::timers()
+{
+    return {.after = [this](Millis delay, std::function<void()> fn) {
+        after(delay, std::move(fn));
+    }};
+}
+
+void EventLoop::after(Millis delay, std::function<void()> fn)
+{
+    m_timers.emplace(m_clock.boot() + std::max(delay, Millis{0}), std::move(fn));
+}
+
+void EventLoop::post(std::function<void()> fn)
+{
+    after({0}, std::move(fn));
+}
+
+static ACE_Reactor_Mask toMask(FdInterest interest)
+{
+    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+    if (interest.read) {
+        mask |= ACE_Event_Handler::READ_MASK;
+    }
+    if (interest.write) {
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    }
+    return mask;
+}
+
+void EventLoop::watch(int fd, FdInterest interest, FdCallback callback)
+{
+    if (const auto it = m_handlers.find(fd); it != m_handlers.end()) {
+        auto &handler = *it->second;
+        handler.callback = std::move(callback);
+        if (handler.interest.read == interest.read && handler.interest.write == interest.write) {
+            return;
+        }
+        unwatch(fd);
+        return watch(fd, interest, std::move(m_retired.back()->callback));
+    }
+    auto handler = std::make_unique<Handler>(&m_reactor->reactor, fd);
+    handler->interest = interest;
+    handler->callback = std::move(callback);
+    m_reactor->reactor.register_handler(handler.get(), toMask(interest));
+    m_handlers.emplace(fd, std::move(handler));
+}
+
+void EventLoop::unwatch(int fd)
+{
+    const auto it = m_handlers.find(fd);
+    if (it == m_handlers.end()) {
+        return;
+    }
+    m_reactor->reactor.remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    m_retired.push_back(std::move(it->second));
+    m_handlers.erase(it);
+}
+
+void EventLoop::onStopSignal(std::function<void(int)> callback)
+{
+    m_onStopSignal = std::move(callback);
+    struct sigaction action {
+    };
+    action.sa_handler = countSignal;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void EventLoop::dispatchSignals()
+{
+    while (pendingSignals > 0) {
+        pendingSignals = pendingSignals - 1;
+        if (m_onStopSignal) {
+            m_onStopSignal(lastSignal);
+        }
+    }
+}
+
+Millis EventLoop::untilNextTimer() const
+{
+    if (m_timers.empty()) {
+        return longestWait;
+    }
+    return std::clamp(m_timers.begin()->first - m_clock.boot(), Millis{0}, longestWait);
+}
+
+void EventLoop::runDueTimers()
+{
+    // Timers that a callback adds for now run in the next round, so that descriptors are served in between.
+    const auto now = m_clock.boot();
+    std::vector<std::function<void()>> due;
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        due.push_back(std::move(m_timers.begin()->second));
+        m_timers.erase(m_timers.begin());
+    }
+    for (auto &fn : due) {
+        fn();
+    }
+}
+
+void EventLoop::run()
+{
+    m_running = true;
+    while (m_running) {
+        // ACE's own timer queue reads the wall clock, which may jump, so timers are kept here.
+        const auto wait = untilNextTimer();
+        ACE_Time_Value timeout(wait.count / 1000, static_cast<suseconds_t>(wait.count % 1000 * 1000));
+        m_reactor->reactor.handle_events(&timeout);
+        m_retired.clear();
+        dispatchSignals();
+        runDueTimers();
+    }
+}
+
+void EventLoop::stop()
+{
+    m_running = false;
+}
+
+} // namespace hibiscusbridge
--- /dev/null
+++ b/src/adapters/eventloop.hpp
@@ -0,0 +1,63 @@
+// The event loop of the process: descriptors, timers and signals on one thread, by an ACE reactor.
+#pragma once
+
+#include "helpers/millis.hpp"
+#include "ports/timer.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace hibiscusbridge
+{
+
+struct FdInterest {
+    bool read = false;
+    bool write = false;
+};
+
+/// Runs callbacks on the thread that calls `run`.
+class EventLoop
+{
+public:
+    /// Receives what the descriptor is ready for.
+    using FdCallback = std::function<void(FdInterest ready)>;
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    TimerPort timers();
+    /// Runs the function after the current callback.
+    void post(std::function<void()> fn);
+    /// Watches a descriptor, or changes what is watched. The descriptor stays its owner's.
+    void watch(int fd, FdInterest interest, FdCallback callback);
+    void unwatch(int fd);
+    /// Calls `callback` with the number of each SIGTERM and SIGINT.
+    void onStopSignal(std::function<void(int signal)> callback);
+    /// Runs until `stop`.
+    void run();
+    void stop();
+
+private:
+    struct Handler;
+    struct Reactor;
+
+    void after(Millis delay, std::function<void()> fn);
+    void runDueTimers();
+    void dispatchSignals();
+    Millis untilNextTimer() const;
+
+    Clock m_clock;
+    std::unique_ptr<Reactor> m_reactor;
+    std::map<int, std::unique_ptr<Handler>> m_handlers;
+    /// Handlers that may still be on the reactor's call stack; freed between two rounds.
+    std::vector<std::unique_ptr<Handler>> m_retired;
+    std::multimap<Millis, std::function<void()>> m_timers;
+    std::function<void(int)> m_onStopSignal;
+    bool m_running = false;
+};
+
+} // namespace hibiscusbridge
