--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -7,21 +7,10 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <optional>
-#include <strings.h>
 
 namespace hibiscusbridge
 {
 
-std::string_view headerValue(const std::vector<Header> &headers, std::string_view name)
-{
-    for (const auto &it : headers) {
-        if (it.name.size() == name.size() && strncasecmp(it.name.data(), name.data(), name.size()) == 0) {
-            return it.value;
-        }
-    }
-    return {};
-}
-
 absl::StatusOr<SocketAddress> parseSocketAddress(std::string_view text)
 {
     const auto malformed = [&] {
--- a/src/adapters/httpserver.hpp
+++ b/src/adapters/httpserver.hpp
@@ -72,9 +72,6 @@
     std::unique_ptr<Daemon> m_daemon;
 };
 
-/// Value of the header, compared without regard to case; empty when absent.
-std::string_view headerValue(const std::vector<Header> &headers, std::string_view name);
-
 /// Splits `1.2.3.4:80`. Fails with kInvalidArgument unless it is an IPv4 number and a port.
 struct SocketAddress {
     std::string host;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // Chooses the subcommand.
+#include "cli/commands.hpp"
 #include "entry/entry.hpp"
 #include "helpers/log.hpp"
 
@@ -7,34 +8,49 @@
 
 using namespace hibiscusbridge;
 
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
+constexpr auto versionText = "hibiscusbridge 0.1.0\n";
 
-static int serve(std::vector<std::string> arguments)
+static const char *readEnvironment(const std::string &name)
 {
-    const auto settings = readSettings(std::move(arguments), [](const std::string &name) { return std::getenv(name.c_str()); });
+    return std::getenv(name.c_str());
+}
+
+static ExitCode serve(std::vector<std::string> arguments)
+{
+    const auto settings = readSettings(std::move(arguments), readEnvironment);
     if (absl::IsCancelled(settings.status())) {
-        return 0;
+        return ExitCode::Success;
     }
     if (!settings.ok()) {
         std::cerr << "hibiscusbridge serve: " << settings.status().message() << '\n';
-        return exitUsage;
+        return ExitCode::Usage;
     }
     setupLog(settings->logLevel, settings->entryId);
     EventLoop loop;
     if (const auto status = runEntry(loop, *settings); !status.ok()) {
-        logEvent(LogLevel::Error, "start_failed", {{"error", std::string(status.message())}});
-        return exitFailure;
+        logEvent(LogLevel::Error, "entry_failed", {{"error", std::string(status.message())}});
+        return ExitCode::Failure;
     }
-    return 0;
+    return ExitCode::Success;
 }
 
-int main(int argc, char **argv)
+static ExitCode run(const std::vector<std::string> &arguments)
 {
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
-    if (!arguments.empty() && arguments[0] == "serve") {
+    if (arguments.empty() || arguments[0] == "--help" || arguments[0] == "help") {
+        std::cout << "usage: hibiscusbridge COMMAND [--help]\n\n  serve  run an entry\n  version\n" << commandOverview();
+        return arguments.empty() ? ExitCode::Usage : ExitCode::Success;
+    }
+    if (arguments[0] == "version" || arguments[0] == "--version") {
+        std::cout << versionText;
+        return ExitCode::Success;
+    }
+    if (arguments[0] == "serve") {
         return serve({arguments.begin() + 1, arguments.end()});
     }
-    std::cerr << "usage: hibiscusbridge serve [--help]\n";
-    return exitUsage;
+    return runOperatorCommand(arguments, readEnvironment);
+}
+
+int main(int argc, char **argv)
+{
+    return static_cast<int>(run({argv + 1, argv + argc}));
 }
--- a/src/ports/target.hpp
+++ b/src/ports/target.hpp
@@ -1,6 +1,7 @@
 // One exchange with a target VM.
 #pragma once
 
+#include "helpers/headers.hpp"
 #include "helpers/millis.hpp"
 
 #include <functional>
@@ -10,12 +11,6 @@
 namespace hibiscusbridge
 {
 
-/// A header as received or to be sent, without line ends.
-struct Header {
-    std::string name;
-    std::string value;
-};
-
 struct TargetRequest {
     /// IP number and port of the VM.
     std::string address;
