Authenticate entries to each other by CURVE keys

Cause: without a ZAP handler libzmq lets any client connect that knows the public key of the server. Change: an authenticator in the process allows only the entries' own key; strangers and malformed messages are counted and dropped.

--- a/src/adapters/peerlink.cpp
+++ b/src/adapters/peerlink.cpp
@@ -1,8 +1,11 @@
 // Messages between entries over ZeroMQ PUSH and PULL sockets.
 #include "adapters/peerlink.hpp"
 
+#include <array>
 #include <map>
+#include <vector>
 #include <zmq.hpp>
+#include <zmq_addon.hpp>
 
 namespace hibiscusbridge
 {
@@ -18,13 +21,18 @@
     PeerLinkOptions options;
     Receiver receiver;
     zmq::context_t context{1};
+    /// Answers ZeroMQ's questions whether a client's key is allowed (RFC 27, ZAP).
+    zmq::socket_t authenticator{context, zmq::socket_type::rep};
     zmq::socket_t inbox{context, zmq::socket_type::pull};
     std::map<std::string, zmq::socket_t> outboxes;
     PeerCounters counters;
     int fd = -1;
+    int authenticatorFd = -1;
 
     void applyCommonOptions(zmq::socket_t &socket) const;
     void listen();
+    void startAuthenticator();
+    void authenticateAll();
     zmq::socket_t &outbox(const std::string &address);
     void send(const std::string &address, const wire::Envelope &envelope);
     void receiveAll();
@@ -53,6 +61,7 @@
 {
     applyCommonOptions(inbox);
     if (!options.secretKey.empty()) {
+        startAuthenticator();
         inbox.set(zmq::sockopt::curve_server, true);
     }
     inbox.bind("tcp://" + options.address);
@@ -60,6 +69,38 @@
     loop.watch(fd, {.read = true}, [this](FdInterest) { receiveAll(); });
 }
 
+void PeerLink::Sockets::startAuthenticator()
+{
+    authenticator.set(zmq::sockopt::linger, 0);
+    authenticator.bind("inproc://zeromq.zap.01");
+    authenticatorFd = authenticator.get(zmq::sockopt::fd);
+    loop.watch(authenticatorFd, {.read = true}, [this](FdInterest) { authenticateAll(); });
+}
+
+void PeerLink::Sockets::authenticateAll()
+{
+    // Frames of a request: version, request id, domain, address, identity, mechanism, client key of 32 bytes.
+    constexpr std::size_t requestFrames = 7;
+    std::vector<zmq::message_t> frames;
+    while (zmq::recv_multipart(authenticator, std::back_inserter(frames), zmq::recv_flags::dontwait)) {
+        std::array<unsigned char, 32> allowedKey{};
+        zmq_z85_decode(allowedKey.data(), options.publicKey.c_str());
+        const bool isAllowed =
+            frames.size() == requestFrames
+            && frames.back().to_string_view() == std::string_view(reinterpret_cast<char *>(allowedKey.data()), allowedKey.size());
+        counters.rejected += isAllowed ? 0 : 1;
+        const auto id = frames.size() > 1 ? frames[1].to_string() : std::string();
+        const std::array<zmq::const_buffer, 6> reply{zmq::str_buffer("1.0"),
+                                                     zmq::buffer(id),
+                                                     isAllowed ? zmq::str_buffer("200") : zmq::str_buffer("400"),
+                                                     zmq::str_buffer(""),
+                                                     zmq::str_buffer(""),
+                                                     zmq::str_buffer("")};
+        zmq::send_multipart(authenticator, reply, zmq::send_flags::dontwait);
+        frames.clear();
+    }
+}
+
 zmq::socket_t &PeerLink::Sockets::outbox(const std::string &address)
 {
     if (const auto it = outboxes.find(address); it != outboxes.end()) {
@@ -135,6 +176,7 @@
 PeerLink::~PeerLink()
 {
     m_sockets->loop.unwatch(m_sockets->fd);
+    m_sockets->loop.unwatch(m_sockets->authenticatorFd);
 }
 
 PeerPort PeerLink::port()
--- a/src/adapters/peerlink.hpp
+++ b/src/adapters/peerlink.hpp
@@ -20,7 +20,8 @@
     int queueLength = 256;
     /// Longest message accepted.
     std::int64_t maxMessageBytes = 4 << 20;
-    /// CURVE keys, 40 characters of Z85 each; all entries share one pair. Empty for no authentication.
+    /// CURVE keys, 40 characters of Z85 each; all entries share one pair, and only its owner may connect. Empty for no
+    /// authentication.
     std::string publicKey;
     std::string secretKey;
 };
@@ -31,6 +32,8 @@
     /// Not sent because the peer's queue is full or it is not connected.
     std::uint64_t dropped = 0;
     std::uint64_t malformed = 0;
+    /// Connections with another key than that of the entries.
+    std::uint64_t rejected = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
 };
