--- a/src/membership/peers.cpp
+++ b/src/membership/peers.cpp
@@ -1,8 +1,6 @@
 // Peer table: taking in and building heartbeats.
 #include "membership/peers.hpp"
 
-#include <utility>
-
 namespace hibiscusbridge
 {
 
@@ -66,11 +64,11 @@
     for (const auto &it : heartbeat.in_flight()) {
         peer->inFlight[it.vm()] += it.requests();
     }
-    if (auto evidence = evidenceOf(table, heartbeat, now)) {
+    if (const auto evidence = evidenceOf(table, heartbeat, now)) {
         if (peer->latest && peer->latest->viewVersion <= ownViewVersion) {
             peer->caughtUp = peer->latest;
         }
-        peer->latest = std::move(evidence);
+        peer->latest = evidence;
     }
     return true;
 }
