Check the whole document and report all problems

Cause: parsing stopped at the first problem and nothing checked references, budgets, quotas, addresses or names across sections. Ruled out: keeping the first-error reader beside a second one, which would read every section twice with two sets of rules; a rack failure as an error, which would refuse every pool that fits into one rack.

--- a/src/document/parse.cpp
+++ b/src/document/parse.cpp
@@ -2,36 +2,50 @@
 #include "document/parse.hpp"
 
 #include <absl/status/status.h>
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
-#include <sstream>
 #include <string_view>
 #include <toml++/toml.h>
 
 namespace hibiscusbridge
 {
 
-/// The first error found in one section, with its place.
+std::string formatProblem(const Problem &problem)
+{
+    std::string text = problem.place.section;
+    if (problem.place.line > 0) {
+        text += ':' + std::to_string(problem.place.line) + ':' + std::to_string(problem.place.column);
+    }
+    return text.empty() ? problem.text : text + ": " + problem.text;
+}
+
+/// Reads one section into the document and collects its problems.
 class SectionReader
 {
 public:
-    SectionReader(std::string_view section, Document &document)
+    SectionReader(std::string_view section, ParsedDocument &parsed)
         : m_section(section)
-        , m_document(document)
+        , m_parsed(parsed)
+        , m_document(parsed.document)
     {
     }
 
-    absl::Status read(std::string_view text);
+    void read(std::string_view text);
 
 private:
+    Place placeOf(const toml::source_region &source) const;
     void fail(const toml::node &node, std::string_view reason);
-    bool checkKeys(const toml::table &table, std::span<const std::string_view> allowed);
-    void readString(const toml::table &table, std::string_view key, std::string &out, bool required);
+    void checkKeys(const toml::table &table, std::span<const std::string_view> allowed);
+    void remember(const std::string &path, const toml::key &key, const toml::node &node);
+    void readString(const toml::table &table, std::string_view key, std::string &out);
     void readCount(const toml::table &table, std::string_view key, std::uint32_t &out);
     void readFlag(const toml::table &table, std::string_view key, bool &out);
     void readWeight(const toml::table &table, std::string_view key, double &out);
     template<typename Item, typename Read>
     void readItems(const toml::table &root, std::string_view key, std::map<std::string, Item, std::less<>> &items, Read readItem);
+    std::string readSectionOwner(const toml::table &table);
     Team readTeam(const std::string &name, const toml::table &table);
     Service readService(const std::string &name, const toml::table &table);
     Pool readPool(const std::string &name, const toml::table &table);
@@ -39,38 +53,50 @@
     void readWeights(const toml::table &root);
 
     std::string_view m_section;
+    ParsedDocument &m_parsed;
     Document &m_document;
-    absl::Status m_status;
 };
 
+Place SectionReader::placeOf(const toml::source_region &source) const
+{
+    return {std::string(m_section), source.begin.line, source.begin.column};
+}
+
 void SectionReader::fail(const toml::node &node, std::string_view reason)
 {
-    if (!m_status.ok()) {
-        return;
-    }
-    std::ostringstream text;
-    text << m_section << ':' << node.source().begin.line << ':' << node.source().begin.column << ": " << reason;
-    m_status = absl::InvalidArgumentError(text.str());
+    m_parsed.problems.push_back({Severity::Error, placeOf(node.source()), std::string(reason)});
 }
 
-bool SectionReader::checkKeys(const toml::table &table, std::span<const std::string_view> allowed)
+void SectionReader::checkKeys(const toml::table &table, std::span<const std::string_view> allowed)
 {
     for (const auto &[key, node] : table) {
-        if (std::find(allowed.begin(), allowed.end(), key.str()) == allowed.end()) {
-            fail(node, "unknown key '" + std::string(key.str()) + "'");
-            return false;
+        if (std::find(allowed.begin(), allowed.end(), key.str()) != allowed.end()) {
+            continue;
+        }
+        std::string reason = "unknown key '" + std::string(key.str()) + "'; known keys here are";
+        for (const auto &it : allowed) {
+            reason += " " + std::string(it);
+        }
+        m_parsed.problems.push_back({Severity::Error, placeOf(key.source()), reason});
+    }
+}
+
+/// Keeps the places of an item and of its keys for the checks across sections.
+void SectionReader::remember(const std::string &path, const toml::key &key, const toml::node &node)
+{
+    m_parsed.places.emplace(path, placeOf(key.source()));
+    if (const auto *const table = node.as_table()) {
+        for (const auto &[childKey, child] : *table) {
+            m_parsed.places.emplace(path + "." + std::string(childKey.str()), placeOf(child.source()));
         }
     }
-    return true;
 }
 
-void SectionReader::readString(const toml::table &table, std::string_view key, std::string &out, bool required)
+void SectionReader::readString(const toml::table &table, std::string_view key, std::string &out)
 {
     const auto *const node = table.get(key);
     if (!node) {
-        if (required) {
-            fail(table, "key '" + std::string(key) + "' is missing");
-        }
+        fail(table, "key '" + std::string(key) + "' is missing");
         return;
     }
     const auto value = node->value_exact<std::string>();
@@ -116,7 +142,7 @@
         return;
     }
     const auto value = node->value<double>();
-    if (!value || !(*value >= 0.0)) {
+    if (!value || !std::isfinite(*value) || *value < 0.0) {
         fail(*node, "key '" + std::string(key) + "' must be a number of at least 0");
         return;
     }
@@ -138,12 +164,15 @@
         const auto *const table = child.as_table();
         if (!table) {
             fail(child, "'" + std::string(key) + "." + std::string(name.str()) + "' must be a table");
-            return;
+            continue;
         }
-        const auto [it, inserted] = items.emplace(std::string(name.str()), readItem(std::string(name.str()), *table));
-        if (!inserted) {
-            fail(child, "'" + std::string(key) + "." + std::string(name.str()) + "' is already defined in another section");
+        const std::string path = std::string(key) + "." + std::string(name.str());
+        if (items.contains(std::string(name.str()))) {
+            fail(child, "'" + path + "' is already defined in section '" + m_parsed.places[path].section + "'");
+            continue;
         }
+        remember(path, name, child);
+        items.emplace(std::string(name.str()), readItem(std::string(name.str()), *table));
     }
 }
 
@@ -152,7 +181,7 @@
     static constexpr std::array<std::string_view, 3> keys{"tokenSha256", "quotaCores", "quotaAccelerators"};
     checkKeys(table, keys);
     Team team{.name = name};
-    readString(table, "tokenSha256", team.tokenSha256, true);
+    readString(table, "tokenSha256", team.tokenSha256);
     readCount(table, "quotaCores", team.quotaCores);
     readCount(table, "quotaAccelerators", team.quotaAccelerators);
     return team;
@@ -163,7 +192,7 @@
     static constexpr std::array<std::string_view, 2> keys{"pool", "deadlineMs"};
     checkKeys(table, keys);
     Service service{.name = name};
-    readString(table, "pool", service.pool, true);
+    readString(table, "pool", service.pool);
     auto deadlineMs = static_cast<std::uint32_t>(service.deadline.count);
     readCount(table, "deadlineMs", deadlineMs);
     service.deadline = {deadlineMs};
@@ -175,7 +204,7 @@
     static constexpr std::array<std::string_view, 5> keys{"owner", "minHealthy", "mayLose", "survivesZone", "spare"};
     checkKeys(table, keys);
     Pool pool{.name = name};
-    readString(table, "owner", pool.owner, true);
+    readString(table, "owner", pool.owner);
     readCount(table, "minHealthy", pool.minHealthy);
     readCount(table, "mayLose", pool.mayLose);
     readFlag(table, "survivesZone", pool.survivesZone);
@@ -189,10 +218,10 @@
         "pool", "address", "zone", "rack", "cores", "memoryMb", "accelerators", "slots", "connections"};
     checkKeys(table, keys);
     DeclaredVm vm{.id = id};
-    readString(table, "pool", vm.pool, true);
-    readString(table, "address", vm.address, true);
-    readString(table, "zone", vm.zone, true);
-    readString(table, "rack", vm.rack, true);
+    readString(table, "pool", vm.pool);
+    readString(table, "address", vm.address);
+    readString(table, "zone", vm.zone);
+    readString(table, "rack", vm.rack);
     readCount(table, "cores", vm.cores);
     readCount(table, "memoryMb", vm.memoryMb);
     readCount(table, "accelerators", vm.accelerators);
@@ -212,6 +241,11 @@
         fail(*node, "'weights' must be a table");
         return;
     }
+    if (const auto held = m_parsed.places.find("weights"); held != m_parsed.places.end()) {
+        fail(*node, "'weights' is already defined in section '" + held->second.section + "'");
+        return;
+    }
+    m_parsed.places.emplace("weights", placeOf(node->source()));
     static constexpr std::array<std::string_view, 3> keys{"bufferCost", "rollOutTime", "moves"};
     checkKeys(*table, keys);
     readWeight(*table, "bufferCost", m_document.weights.bufferCost);
@@ -219,42 +253,59 @@
     readWeight(*table, "moves", m_document.weights.moves);
 }
 
-absl::Status SectionReader::read(std::string_view text)
+std::string SectionReader::readSectionOwner(const toml::table &table)
+{
+    static constexpr std::array<std::string_view, 1> keys{"owner"};
+    checkKeys(table, keys);
+    std::string owner;
+    readString(table, "owner", owner);
+    return owner;
+}
+
+void SectionReader::read(std::string_view text)
 {
+    if (text.size() > maxSectionBytes) {
+        m_parsed.readable = false;
+        m_parsed.problems.push_back({Severity::Error,
+                                     {std::string(m_section)},
+                                     "the text has " + std::to_string(text.size()) + " bytes, more than " + std::to_string(maxSectionBytes)
+                                         + "; split the section"});
+        return;
+    }
     toml::table root;
     try {
         root = toml::parse(text);
     } catch (const toml::parse_error &error) {
-        std::ostringstream reason;
-        reason << m_section << ':' << error.source().begin.line << ':' << error.source().begin.column << ": " << error.description();
-        return absl::InvalidArgumentError(reason.str());
+        m_parsed.readable = false;
+        m_parsed.problems.push_back({Severity::Error, placeOf(error.source()), std::string(error.description())});
+        return;
     }
     static constexpr std::array<std::string_view, 6> keys{"teams", "sections", "services", "pools", "vms", "weights"};
     checkKeys(root, keys);
     readItems(root, "teams", m_document.teams, [this](const auto &name, const auto &table) { return readTeam(name, table); });
-    readItems(root, "sections", m_document.sectionOwners, [this](const auto &, const auto &table) {
-        static constexpr std::array<std::string_view, 1> sectionKeys{"owner"};
-        checkKeys(table, sectionKeys);
-        std::string owner;
-        readString(table, "owner", owner, true);
-        return owner;
-    });
+    readItems(root, "sections", m_document.sectionOwners, [this](const auto &, const auto &table) { return readSectionOwner(table); });
     readItems(root, "services", m_document.services, [this](const auto &name, const auto &table) { return readService(name, table); });
     readItems(root, "pools", m_document.pools, [this](const auto &name, const auto &table) { return readPool(name, table); });
     readItems(root, "vms", m_document.vms, [this](const auto &id, const auto &table) { return readVm(id, table); });
     readWeights(root);
-    return m_status;
 }
 
-absl::StatusOr<Document> parseDocument(std::span<const SectionText> sections)
+ParsedDocument parseSections(std::span<const SectionText> sections)
 {
-    Document document;
+    ParsedDocument parsed;
     for (const auto &section : sections) {
-        if (auto status = SectionReader(section.name, document).read(section.text); !status.ok()) {
-            return status;
-        }
+        SectionReader(section.name, parsed).read(section.text);
+    }
+    return parsed;
+}
+
+absl::StatusOr<Document> parseDocument(std::span<const SectionText> sections)
+{
+    auto parsed = parseSections(sections);
+    if (!parsed.problems.empty()) {
+        return absl::InvalidArgumentError(formatProblem(parsed.problems.front()));
     }
-    return document;
+    return std::move(parsed.document);
 }
 
 } // namespace hibiscusbridge
