Add audit entries, line diffs and dry runs

Cause: conflicts need a diff, operators need to see what an edit would do, and every change needs an entry that explains it. Ruled out: a diff library, as none is among the declared packages; a diff without a bound, whose memory grows with the square of the edits. Figures: 300 random pairs of texts and one pair beyond the bound are rebuilt from their diffs.

--- /dev/null
+++ b/tests/unit/document_change_test.cpp
@@ -0,0 +1,151 @@
+// Operators act on diffs, dry runs and audit entries: each must show exactly what changed.
+#include "audit/audit.hpp"
+#include "document/dryrun.hpp"
+#include "document/linediff.hpp"
+#include "fakes/faketable.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hibiscusbridge;
+
+/// Applies hunks of a unified diff to the lines of a text.
+static std::string patch(const std::string &before, const std::string &diff)
+{
+    std::vector<std::string> lines;
+    std::string out;
+    std::istringstream text(before);
+    for (std::string line; std::getline(text, line);) {
+        lines.push_back(line);
+    }
+    std::size_t next = 0;
+    std::istringstream hunks(diff);
+    for (std::string line; std::getline(hunks, line);) {
+        if (line.starts_with("@@")) {
+            const auto start = std::stoul(line.substr(4));
+            const auto count = std::stoul(line.substr(line.find(',') + 1));
+            for (const auto end = count == 0 ? start : start - 1; next < end; ++next) {
+                out += lines.at(next) + "\n";
+            }
+            continue;
+        }
+        if (line[0] != '+') {
+            REQUIRE(lines.at(next++) == line.substr(1));
+        }
+        out += line[0] == '-' ? "" : line.substr(1) + "\n";
+    }
+    for (; next < lines.size(); ++next) {
+        out += lines[next] + "\n";
+    }
+    return out;
+}
+
+TEST_CASE("a diff shows changed lines with three lines of context", "[linediff]")
+{
+    CHECK(lineDiff("a\nb\n", "a\nb\n").empty());
+    CHECK(lineDiff("1\n2\n3\n4\n5\n6\n", "1\n2\n3\n4\nfive\n6\n") == "@@ -2,5 +2,5 @@\n 2\n 3\n 4\n-5\n+five\n 6\n");
+    CHECK(lineDiff("", "a\n") == "@@ -0,0 +1,1 @@\n+a\n");
+    CHECK(lineDiff("a\n", "") == "@@ -1,1 +0,0 @@\n-a\n");
+}
+
+TEST_CASE("a diff turns any text into the other", "[linediff]")
+{
+    std::mt19937 random(7);
+    const auto randomText = [&random](std::size_t n, unsigned kinds) {
+        std::string out;
+        for (std::size_t i = 0; i < n; ++i) {
+            out += std::to_string(random() % kinds) + "\n";
+        }
+        return out;
+    };
+    for (int i = 0; i < 300; ++i) {
+        const auto before = randomText(random() % 60, 1 + random() % 40);
+        auto after = i % 2 == 0 ? before : randomText(random() % 60, 5);
+        if (i % 2 == 0 && !after.empty()) {
+            after.insert(after.find('\n') + 1, "new\n");
+        }
+        CHECK(patch(before, lineDiff(before, after)) == after);
+    }
+    // More edits than the search is allowed to look for.
+    const auto before = "same\n" + randomText(3'000, 1'000'000) + "end\n";
+    const auto after = "same\n" + randomText(3'000, 1'000'000) + "end\n";
+    CHECK(patch(before, lineDiff(before, after)) == after);
+    CHECK(lineDiff(before, after).find("-same") == std::string::npos);
+}
+
+static View viewOf(std::initializer_list<std::pair<std::string, std::string>> vms)
+{
+    View view;
+    for (const auto &[id, pool] : vms) {
+        view.vms[id] = {.id = id, .pool = pool};
+        view.document.vms[id] = {.id = id, .pool = pool};
+    }
+    view.document.pools["a"] = {.name = "a", .owner = "t", .minHealthy = 1, .mayLose = 2};
+    view.document.pools["b"] = {.name = "b", .owner = "t"};
+    view.document.services["s"] = {.name = "s", .pool = "a"};
+    return view;
+}
+
+TEST_CASE("a dry run tells what an edit would do and how long it takes", "[dryrun]")
+{
+    const auto view = viewOf({{"v1", "a"}, {"v2", "a"}, {"v3", "a"}, {"v4", "a"}, {"v5", "a"}});
+    auto document = view.document;
+    document.vms["v1"].pool = "b";
+    document.vms.erase("v2");
+    document.vms["v3"].pool = "b";
+    document.vms["v6"] = {.id = "v6", .pool = "a"};
+    document.services["s"].pool = "b";
+    document.pools["a"].minHealthy = 2;
+    const auto result = dryRun(view, document, Millis{60'000});
+    CHECK(result.vmsAdded == std::vector<std::string>{"v6"});
+    CHECK(result.vmsRemoved == std::vector<std::string>{"v2"});
+    CHECK(result.rollOut == Millis{120'000}); // Three VMs leave pool a, two at a time.
+    CHECK(renderDryRun(result)
+          == "VMs added: 1 v6\nVMs removed: 1 v2\nVMs moved: 2\n  v1: a -> b\n  v3: a -> b\nservices rerouted: 1\n  s: a -> b\n"
+             "buffer: 4 -> 3 VMs\n  pool a: 4 -> 1, budget gets tighter\n  pool b: 0 -> 2\nroll-out: about 120 s\n");
+    document.pools["a"].mayLose = 0;
+    const auto blocked = dryRun(view, document, Millis{60'000});
+    CHECK(!blocked.rollOut);
+    CHECK(blocked.blockedPools == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a VM on its way is compared by the pool it is in, not by the one declared", "[dryrun]")
+{
+    auto view = viewOf({{"v1", "a"}});
+    view.document.vms["v1"].pool = "b";
+    CHECK(dryRun(view, view.document, std::nullopt).vmsMoved.size() == 1);
+}
+
+TEST_CASE("audit entries of a subject come back newest last and bounded", "[audit]")
+{
+    FakeLoop loop;
+    FakeTable table(loop);
+    // 9 and 10 sort wrongly without padding.
+    for (const std::int64_t at : {9, 10, 1'000}) {
+        Transaction transaction;
+        addAudit(transaction, {.id = "e" + std::to_string(at), .at = {at}, .actor = "ops", .subject = "vm/a", .figures = {{"n", 1.5}}});
+        addAudit(transaction, {.id = "other" + std::to_string(at), .at = {at}, .subject = "vm/ab"});
+        table.port().commit(transaction, [](const auto &) {});
+    }
+    table.put("audit/0000000000011-x", "{malformed");
+    std::vector<AuditEntry> entries;
+    readAudit(table.port(), "vm/a", 2, [&entries](const auto &result) { entries = *result; });
+    loop.advance({100});
+    REQUIRE(entries.size() == 2);
+    CHECK(entries[0].id == "e10");
+    CHECK(entries[1].id == "e1000");
+    CHECK(entries[1].figures.at("n") == 1.5);
+    CHECK(auditKey(entries[1]) == "audit/0000000001000-e1000");
+    absl::Status status;
+    table.always = TableFault::ErrorBefore;
+    readAudit(table.port(), "vm/a", 2, [&status](const auto &result) { status = result.status(); });
+    loop.advance({100});
+    CHECK(absl::IsUnavailable(status));
+}
+
+TEST_CASE("an audit entry with text that is not UTF-8 is still stored", "[audit]")
+{
+    const auto entry = parseAudit(encodeAudit({.id = "a", .reason = "bad \xff byte"}));
+    REQUIRE(entry);
+    CHECK(entry->reason.starts_with("bad "));
+}
