Add submission of sections with a fault matrix

Cause: edits of sections have to be stored once, only by their owner, never over another edit, and with an answer that is true after lost replies. Ruled out: recognising a retry by the section row, which a later edit of the section overwrites; refusing on a read that may be old; answering "unknown" whenever a reply is lost, because a moved document version proves that an unanswered commit can no longer take effect. Change: SubmissionManager commits section, document version, record submission/<id>, audit entry, new VM rows and new ledgers in one transaction, reads lost replies back by id, and confirms each refusal with a commit without writes. Linter findings in the earlier files of src/document are fixed.

--- a/src/document/check.cpp
+++ b/src/document/check.cpp
@@ -3,6 +3,7 @@
 
 #include "document/budgets.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -107,7 +108,7 @@
 {
     for (const auto &[name, item] : items) {
         if (!isValidName(name)) {
-            report(kind + "." + name, "name '" + name + "' must have 1 to 63 characters of a-z, 0-9 and '-'");
+            report(absl::StrCat(kind, ".", name), "name '" + name + "' must have 1 to 63 characters of a-z, 0-9 and '-'");
         }
     }
 }
@@ -117,7 +118,7 @@
 void DocumentChecker::checkInFleetSection(const std::string &kind, const Items &items)
 {
     for (const auto &[name, item] : items) {
-        const auto it = m_parsed.places.find(kind + "." + name);
+        const auto it = m_parsed.places.find(absl::StrCat(kind, ".", name));
         if (it != m_parsed.places.end() && it->second.section != fleetSection) {
             report(it->first, "'" + it->first + "' may only be defined in section 'fleet'");
         }
@@ -171,7 +172,7 @@
     }
     for (const auto &[name, owner] : m_document.sectionOwners) {
         if (!owner.empty() && !m_document.teams.contains(owner)) {
-            report("sections." + name + ".owner", "owner '" + owner + "' of section '" + name + "' is not a team");
+            report("sections." + name + ".owner", absl::StrCat("owner '", owner, "' of section '", name, "' is not a team"));
         }
     }
 }
--- a/src/document/dryrun.cpp
+++ b/src/document/dryrun.cpp
@@ -1,6 +1,7 @@
 // What an edit of the document would do to the fleet.
 #include "document/dryrun.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <set>
 
@@ -136,7 +137,7 @@
     appendNames(out, "VMs removed", result.vmsRemoved);
     out += "VMs moved: " + std::to_string(result.vmsMoved.size()) + '\n';
     for (const auto &[id, from, to] : result.vmsMoved) {
-        out += "  " + id + ": " + from + " -> " + to + '\n';
+        absl::StrAppend(&out, "  ", id, ": ", from, " -> ", to, "\n");
     }
     out += "services rerouted: " + std::to_string(result.servicesRerouted.size()) + '\n';
     for (const auto &[service, from, to] : result.servicesRerouted) {
--- a/src/document/linediff.cpp
+++ b/src/document/linediff.cpp
@@ -51,7 +51,7 @@
             while (x < n && x - k < m && a[static_cast<std::size_t>(x)] == b[static_cast<std::size_t>(x - k)]) {
                 ++x;
             }
-            row[static_cast<std::size_t>(k + d)] = x;
+            row.at(static_cast<std::size_t>(k) + static_cast<std::size_t>(d)) = x;
             if (x >= n && x - k >= m) {
                 trace.push_back(std::move(row));
                 return trace;
--- /dev/null
+++ b/src/document/submission.cpp
@@ -0,0 +1,289 @@
+// Accepts operators' edits of sections.
+#include "document/submission.hpp"
+
+#include "document/linediff.hpp"
+#include "helpers/ids.hpp"
+#include "helpers/log.hpp"
+
+#include <algorithm>
+
+namespace hibiscusbridge
+{
+
+/// Passes in which a submission may commit.
+constexpr int maxAttempts = 8;
+/// Further passes that only read back a commit whose reply was lost.
+constexpr int maxReadBacks = 4;
+/// Wait before the second pass; doubles up to `maxRetryWait`.
+constexpr Millis firstRetryWait{100};
+constexpr Millis maxRetryWait{1'600};
+/// Spread of waits, so that entries that conflicted don't meet again.
+constexpr std::uint64_t retryJitterMs = 50;
+constexpr std::size_t maxSubmissionIdLength = 64;
+
+/// One submission on its way.
+struct SubmissionManager::Run {
+    Submission submission;
+    SubmissionCallback callback;
+    int attempts = 0;
+    /// A commit got no answer and may still take effect while the document is at `openAtVersion`.
+    bool open = false;
+    std::uint64_t openAtVersion = 0;
+};
+
+std::string_view toString(SubmissionOutcome outcome)
+{
+    switch (outcome) {
+    case SubmissionOutcome::Accepted:
+        return "accepted";
+    case SubmissionOutcome::Conflict:
+        return "conflict";
+    case SubmissionOutcome::Invalid:
+        return "invalid";
+    case SubmissionOutcome::Forbidden:
+        return "forbidden";
+    case SubmissionOutcome::IdReused:
+        return "id-reused";
+    case SubmissionOutcome::Unavailable:
+        return "unavailable";
+    case SubmissionOutcome::Unknown:
+        return "unknown";
+    }
+    return "invalid-outcome";
+}
+
+static bool isValidSubmissionId(std::string_view id)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-';
+    };
+    return !id.empty() && id.size() <= maxSubmissionIdLength && std::all_of(id.begin(), id.end(), allowed);
+}
+
+/// Checks that need no table: both names become row keys.
+static std::vector<Problem> checkRequest(const Submission &submission)
+{
+    std::vector<Problem> problems;
+    if (!isValidName(submission.section)) {
+        problems.push_back({.text = "the section name must have 1 to 63 characters of a-z, 0-9 and '-'"});
+    }
+    if (!isValidSubmissionId(submission.submissionId)) {
+        problems.push_back({.text = "the submission id must have 1 to 64 characters of A-Z, a-z, 0-9 and '-'"});
+    }
+    return problems;
+}
+
+SubmissionManager::SubmissionManager(TablePort table, TimerPort timers, Clock clock, std::string bootstrapToken)
+    : m_table(std::move(table))
+    , m_timers(std::move(timers))
+    , m_clock(std::move(clock))
+    , m_bootstrapToken(std::move(bootstrapToken))
+{
+}
+
+/// Wraps a callback so that it does nothing after the manager is gone.
+template<typename Function>
+auto SubmissionManager::whileAlive(Function function)
+{
+    return [alive = std::weak_ptr<bool>(m_alive), function = std::move(function)](auto &&...args) {
+        if (!alive.expired()) {
+            function(std::forward<decltype(args)>(args)...);
+        }
+    };
+}
+
+void SubmissionManager::submit(Submission submission, SubmissionCallback callback)
+{
+    const auto run = std::make_shared<Run>(Run{std::move(submission), std::move(callback)});
+    if (auto problems = checkRequest(run->submission); !problems.empty()) {
+        SubmissionResult refusal{
+            .outcome = SubmissionOutcome::Invalid, .problems = std::move(problems), .reason = "the request is malformed"};
+        m_timers.after({0}, whileAlive([this, run, refusal] { finish(run, refusal); }));
+        return;
+    }
+    readView(run);
+}
+
+void SubmissionManager::readView(const RunPointer &run)
+{
+    const ReadRequest request{std::string(viewPrefix), m_view.version};
+    m_table.read(request, whileAlive([this, run](const absl::StatusOr<ReadResult> &result) {
+                     // An older read than one already applied cannot decide anything.
+                     if (!result.ok() || result->version < m_view.version) {
+                         retry(run);
+                         return;
+                     }
+                     applyRows(m_view, result->version, result->rows);
+                     readRecord(run);
+                 }));
+}
+
+void SubmissionManager::readRecord(const RunPointer &run)
+{
+    const auto key = recordKey(run->submission.submissionId);
+    m_table.read({key}, whileAlive([this, run, key](const absl::StatusOr<ReadResult> &result) {
+                     // A record read older than the view could miss an acceptance that the view shows as a conflict.
+                     if (!result.ok() || result->version < m_view.version) {
+                         retry(run);
+                         return;
+                     }
+                     const auto it = std::find_if(
+                         result->rows.begin(), result->rows.end(), [&key](const Row &row) { return row.key == key && row.value; });
+                     if (it != result->rows.end()) {
+                         answerFromRecord(run, *it);
+                         return;
+                     }
+                     run->open = run->open && m_view.documentVersion == run->openAtVersion;
+                     decide(run);
+                 }));
+}
+
+void SubmissionManager::answerFromRecord(const RunPointer &run, const Row &row)
+{
+    const auto record = parseRecord(*row.value);
+    const auto own = makeRecord(run->submission, {});
+    // The token of the first try counts, since the submission may have changed the section's owner.
+    if (!record || !equalSecrets(record->tokenSha256, own.tokenSha256)) {
+        finish(run, {.outcome = SubmissionOutcome::Forbidden, .reason = "the submission id was used with another token"});
+        return;
+    }
+    if (record->section != own.section || record->textSha256 != own.textSha256) {
+        finish(run,
+               {.outcome = SubmissionOutcome::IdReused,
+                .reason = "the submission id was used for another text of section '" + record->section + "'; choose a new id"});
+        return;
+    }
+    finish(run, {.outcome = SubmissionOutcome::Accepted, .version = row.version, .problems = record->warnings});
+}
+
+/// Name of the team that the token proves, or empty.
+std::string SubmissionManager::authorisedTeam(const Submission &submission) const
+{
+    if (m_view.documentVersion == 0) {
+        const bool first = submission.section == fleetSection && !m_bootstrapToken.empty();
+        return first && equalSecrets(submission.token, m_bootstrapToken) ? "bootstrap" : "";
+    }
+    const auto owner = m_view.document.sectionOwners.find(submission.section);
+    if (owner == m_view.document.sectionOwners.end()) {
+        return {};
+    }
+    const auto team = m_view.document.teams.find(owner->second);
+    if (team == m_view.document.teams.end() || !equalSecrets(team->second.tokenSha256, sha256Hex(submission.token))) {
+        return {};
+    }
+    return team->first;
+}
+
+std::optional<SubmissionResult> SubmissionManager::findConflict(const Submission &submission) const
+{
+    const auto it = m_view.sections.find(submission.section);
+    const auto version = it == m_view.sections.end() ? 0 : it->second.version;
+    if (version == submission.baseVersion) {
+        return std::nullopt;
+    }
+    return SubmissionResult{
+        .outcome = SubmissionOutcome::Conflict,
+        .version = version,
+        .diff = lineDiff(it == m_view.sections.end() ? std::string_view() : it->second.text, submission.text),
+        .reason = "section '" + submission.section + "' is at version " + std::to_string(version) + ", the edit is based on version "
+                  + std::to_string(submission.baseVersion),
+    };
+}
+
+void SubmissionManager::decide(const RunPointer &run)
+{
+    if (run->attempts >= maxAttempts) {
+        retry(run);
+        return;
+    }
+    const auto &submission = run->submission;
+    const auto team = authorisedTeam(submission);
+    if (team.empty()) {
+        const std::string reason = m_view.documentVersion == 0
+                                       ? "the first submission must be section 'fleet' with the bootstrap token"
+                                       : "the token is not that of the owner of section '" + submission.section + "'";
+        confirmRefusal(run, {.outcome = SubmissionOutcome::Forbidden, .reason = reason});
+        return;
+    }
+    if (auto conflict = findConflict(submission)) {
+        confirmRefusal(run, std::move(*conflict));
+        return;
+    }
+    auto checked = checkDocument(sectionsWith(m_view, submission));
+    if (!checked.accepted()) {
+        confirmRefusal(
+            run,
+            {.outcome = SubmissionOutcome::Invalid, .problems = std::move(checked.problems), .reason = "the document would be invalid"});
+        return;
+    }
+    commit(run, checked, team);
+}
+
+/// A commit without writes proves that the refusal was decided on the current document.
+void SubmissionManager::confirmRefusal(const RunPointer &run, SubmissionResult refusal)
+{
+    const Transaction proof{
+        .preconditions = {{std::string(documentVersionKey), m_view.documentVersion}, {recordKey(run->submission.submissionId), 0}},
+    };
+    m_table.commit(proof, whileAlive([this, run, refusal = std::move(refusal)](const absl::StatusOr<std::uint64_t> &result) {
+                       if (!result.ok()) {
+                           retry(run);
+                           return;
+                       }
+                       finish(run, refusal);
+                   }));
+}
+
+void SubmissionManager::commit(const RunPointer &run, const CheckedDocument &checked, const std::string &actor)
+{
+    const auto documentVersion = m_view.documentVersion;
+    m_table.commit(acceptanceTransaction(m_view, run->submission, checked, actor, m_clock.wall()),
+                   whileAlive([this, run, documentVersion, warnings = checked.problems](const absl::StatusOr<std::uint64_t> &result) {
+                       if (result.ok()) {
+                           finish(run, {.outcome = SubmissionOutcome::Accepted, .version = *result, .problems = warnings});
+                           return;
+                       }
+                       if (!absl::IsAborted(result.status()) && !absl::IsUnavailable(result.status())) {
+                           run->open = true;
+                           run->openAtVersion = documentVersion;
+                       }
+                       retry(run);
+                   }));
+}
+
+void SubmissionManager::retry(const RunPointer &run)
+{
+    ++run->attempts;
+    if (run->attempts >= maxAttempts + (run->open ? maxReadBacks : 0)) {
+        giveUp(run);
+        return;
+    }
+    const auto doubled = firstRetryWait * (std::int64_t{1} << std::min(run->attempts - 1, 10));
+    const auto jitter = stableHash(run->submission.submissionId + std::to_string(run->attempts)) % retryJitterMs;
+    m_timers.after(std::min(doubled, maxRetryWait) + Millis{static_cast<std::int64_t>(jitter)}, whileAlive([this, run] { readView(run); }));
+}
+
+void SubmissionManager::giveUp(const RunPointer &run)
+{
+    if (run->open) {
+        finish(run,
+               {.outcome = SubmissionOutcome::Unknown,
+                .reason = "the platform did not tell whether the edit was stored; retry with the same submission id"});
+        return;
+    }
+    finish(run, {.outcome = SubmissionOutcome::Unavailable, .reason = "the platform did not answer; nothing was stored by this call"});
+}
+
+void SubmissionManager::finish(const RunPointer &run, SubmissionResult result)
+{
+    logEvent(LogLevel::Info,
+             "submission",
+             {{"id", run->submission.submissionId},
+              {"section", run->submission.section},
+              {"outcome", toString(result.outcome)},
+              {"version", result.version},
+              {"attempts", run->attempts + 1}});
+    run->callback(result);
+}
+
+} // namespace hibiscusbridge
--- /dev/null
+++ b/tests/unit/submission_faults_test.cpp
@@ -0,0 +1,262 @@
+// Fault matrix of submissions: every table call of every scenario with every fault, alone, followed by every other, and
+// lasting. Guards against lost updates, edits applied twice, invalid documents, and answers that are not true.
+#include "submission_world.hpp"
+
+#include "audit/audit.hpp"
+#include "helpers/log.hpp"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <set>
+
+using namespace hibiscusbridge;
+using Outcome = SubmissionOutcome;
+
+enum class Scenario { Alone, SameSection, DifferentSections, JointlyInvalid, SubmitterDies };
+
+constexpr std::array scenarioNames{"alone", "same section", "different sections", "jointly invalid", "submitter dies"};
+constexpr std::array faultNames{"none", "error before", "reply lost", "late write", "slow", "older read"};
+constexpr std::array faults{
+    TableFault::None, TableFault::ErrorBefore, TableFault::ReplyLost, TableFault::LateWrite, TableFault::Slow, TableFault::OlderRead};
+
+/// The first fault hits call `step` after the setup, the second follows after `gap` calls without fault. With `lasting`, the second
+/// goes on for ever.
+struct FaultCase {
+    Scenario scenario = Scenario::Alone;
+    std::size_t step = 0;
+    TableFault fault = TableFault::None;
+    TableFault second = TableFault::None;
+    std::size_t gap = 0;
+    bool lasting = false;
+    /// Call of the first submitter whose answer it does not live to see.
+    std::size_t diesAt = 0;
+};
+
+static std::string nameOf(const FaultCase &it)
+{
+    return std::string(scenarioNames[static_cast<std::size_t>(it.scenario)]) + ", step " + std::to_string(it.step) + ", "
+           + faultNames[static_cast<std::size_t>(it.fault)] + " then " + faultNames[static_cast<std::size_t>(it.second)]
+           + (it.lasting ? " lasting" : " after " + std::to_string(it.gap))
+           + (it.scenario == Scenario::SubmitterDies ? ", dies at " + std::to_string(it.diesAt) : "");
+}
+
+/// Delivers calls up to `diesAt`, and no answer from there on.
+static TablePort dyingPort(const TablePort &port, std::size_t diesAt)
+{
+    const auto calls = std::make_shared<std::size_t>(0);
+    return {
+        .commit =
+            [port, calls, diesAt](Transaction transaction, TablePort::CommitCallback callback) {
+                if (const auto call = (*calls)++; call <= diesAt) {
+                    port.commit(
+                        std::move(transaction), call < diesAt ? std::move(callback) : [](const auto &) {});
+                }
+            },
+        .read =
+            [port, calls, diesAt](ReadRequest request, TablePort::ReadCallback callback) {
+                if (const auto call = (*calls)++; call <= diesAt) {
+                    port.read(
+                        std::move(request), call < diesAt ? std::move(callback) : [](const auto &) {});
+                }
+            },
+    };
+}
+
+/// Notes in `unanswered` when a commit gets no answer.
+static TablePort watchedPort(TablePort port, bool &unanswered)
+{
+    port.commit = [inner = port.commit, &unanswered](Transaction transaction, TablePort::CommitCallback callback) {
+        inner(std::move(transaction), [&unanswered, callback](const absl::StatusOr<std::uint64_t> &result) {
+            unanswered = unanswered || absl::IsDeadlineExceeded(result.status());
+            callback(result);
+        });
+    };
+    return port;
+}
+
+/// Runs one case and collects the invariants that it breaks.
+class FaultRun
+{
+public:
+    explicit FaultRun(const FaultCase &faultCase)
+        : m_case(faultCase)
+    {
+    }
+
+    std::string run();
+    std::size_t calls = 0;
+
+private:
+    void submit(SubmissionManager &manager, std::size_t index, const Submission &submission);
+    void checkCommit();
+    void checkAnswer(std::size_t index);
+    void checkOutcomes();
+    void expect(bool holds, const std::string &text)
+    {
+        m_broken += holds ? "" : text + "; ";
+    }
+
+    FaultCase m_case;
+    SubmissionWorld m_world;
+    std::vector<Submission> m_submissions;
+    std::array<std::optional<SubmissionResult>, 2> m_answers;
+    std::array<bool, 2> m_commitUnanswered{};
+    std::set<std::string> m_seenTexts;
+    std::map<std::string, std::uint64_t> m_seenVersions;
+    std::string m_broken;
+};
+
+void FaultRun::submit(SubmissionManager &manager, std::size_t index, const Submission &submission)
+{
+    m_submissions.push_back(submission);
+    manager.submit(submission, [this, index](const auto &result) {
+        expect(!m_answers[index], "answered twice");
+        m_answers[index] = result;
+    });
+}
+
+/// After every commit: each text of a section is stored once and never comes back, and the document is valid.
+void FaultRun::checkCommit()
+{
+    std::vector<SectionText> sections;
+    for (const auto &row : m_world.table.rows("view/doc/")) {
+        const auto section = parseSection(*row.value);
+        sections.push_back({section->name, section->text});
+        if (m_seenVersions[section->name] != row.version) {
+            m_seenVersions[section->name] = row.version;
+            expect(m_seenTexts.insert(section->name + section->text).second, "a text of " + section->name + " was stored again");
+            expect(row.version < m_world.table.version() || m_world.table.row("view/docversion").version == row.version,
+                   "the document version did not move with " + section->name);
+        }
+    }
+    expect(checkDocument(sections).accepted(), "the stored document is invalid");
+}
+
+/// The answer against what is stored after every late write has landed.
+void FaultRun::checkAnswer(std::size_t index)
+{
+    const auto &submission = m_submissions[index];
+    const auto record = m_world.table.row("submission/" + submission.submissionId);
+    std::size_t entries = 0;
+    for (const auto &it : selectAudit(m_world.table.rows("audit/"), "", 100)) {
+        entries += it.id == submission.submissionId ? 1 : 0;
+    }
+    expect(entries == (record.version > 0 ? 1 : 0), "audit entries: " + std::to_string(entries));
+    if (m_case.scenario == Scenario::SubmitterDies && index == 0) {
+        return; // The dead submitter's answer reached nobody; the second one speaks for the same id.
+    }
+    const auto &answer = m_answers[index];
+    if (!answer) {
+        expect(false, "no answer");
+        return;
+    }
+    if (answer->outcome == Outcome::Accepted) {
+        expect(record.version == answer->version, "accepted but not stored");
+        expect(m_world.sectionVersion(submission.section) == answer->version, "accepted but lost");
+    } else if (answer->outcome == Outcome::Unknown) {
+        expect(m_case.lasting && m_commitUnanswered.at(index), "unknown although the platform told the outcome");
+    } else if (m_case.scenario != Scenario::SubmitterDies || answer->outcome != Outcome::Unavailable) {
+        expect(record.version == 0, std::string(toString(answer->outcome)) + " but stored");
+    }
+    expect(answer->outcome != Outcome::Conflict || !answer->diff.empty(), "conflict without diff");
+    // Slow or older reads that last are not outages, but a table that never shows its state may defeat every try.
+    expect(m_case.lasting || answer->outcome != Outcome::Unavailable, "unavailable although the platform answers");
+}
+
+void FaultRun::checkOutcomes()
+{
+    const auto count = [this](Outcome outcome) {
+        return std::count_if(m_answers.begin(), m_answers.end(), [outcome](const auto &it) { return it && it->outcome == outcome; });
+    };
+    switch (m_case.scenario) {
+    case Scenario::Alone:
+    case Scenario::SubmitterDies:
+        return expect(count(Outcome::Accepted) >= 1, "not accepted");
+    case Scenario::SameSection:
+        return expect(count(Outcome::Accepted) == 1 && count(Outcome::Conflict) == 1, "not one accepted and one conflict");
+    case Scenario::DifferentSections:
+        return expect(count(Outcome::Accepted) == 2, "not both accepted");
+    case Scenario::JointlyInvalid:
+        return expect(count(Outcome::Accepted) == 1 && count(Outcome::Invalid) == 1, "not one accepted and one invalid");
+    }
+}
+
+std::string FaultRun::run()
+{
+    m_world.setUp();
+    auto &table = m_world.table;
+    table.onCommit = [this] {
+        checkCommit();
+    };
+    checkCommit();
+    const auto callsBefore = table.calls;
+    table.faults.assign(m_case.step, TableFault::None);
+    table.faults.push_back(m_case.fault);
+    if (m_case.lasting) {
+        table.always = m_case.second;
+    } else {
+        table.faults.insert(table.faults.end(), m_case.gap, TableFault::None);
+        table.faults.push_back(m_case.second);
+    }
+    const bool dies = m_case.scenario == Scenario::SubmitterDies;
+    const auto port = dies ? dyingPort(table.port(), m_case.diesAt) : table.port();
+    // New managers start without a view, as a restarted entry does.
+    SubmissionManager one(watchedPort(port, m_commitUnanswered[0]), m_world.loop.timers(), m_world.loop.clock(), "");
+    SubmissionManager two(watchedPort(table.port(), m_commitUnanswered[1]), m_world.loop.timers(), m_world.loop.clock(), "");
+    const auto edit = m_world.edit("web", poolText("web", {1, 5}), "edit-a");
+    submit(one, 0, edit);
+    if (m_case.scenario == Scenario::SameSection) {
+        submit(two, 1, m_world.edit("web", poolText("web", {1, 6}), "edit-b"));
+    } else if (m_case.scenario == Scenario::DifferentSections || m_case.scenario == Scenario::JointlyInvalid) {
+        submit(two, 1, m_world.edit("db", poolText("db", {2, m_case.scenario == Scenario::JointlyInvalid ? 5 : 6}), "edit-b"));
+    } else if (dies) {
+        m_world.loop.advance({1'000});
+        submit(two, 1, edit);
+    }
+    m_world.loop.advance({600'000});
+    calls = table.calls - callsBefore;
+    for (std::size_t i = 0; i < m_submissions.size(); ++i) {
+        checkAnswer(i);
+    }
+    if (!m_case.lasting) {
+        checkOutcomes();
+    }
+    return m_broken;
+}
+
+TEST_CASE("submissions keep their promises under every fault at every step", "[submission][faults]")
+{
+    setupLog("error", "test");
+    std::size_t cases = 0;
+    std::vector<std::string> failed;
+    const auto runCase = [&](const FaultCase &faultCase) {
+        FaultRun run(faultCase);
+        ++cases;
+        if (const auto broken = run.run(); !broken.empty()) {
+            failed.push_back(nameOf(faultCase) + ": " + broken);
+        }
+        return run.calls;
+    };
+    for (const auto scenario :
+         {Scenario::Alone, Scenario::SameSection, Scenario::DifferentSections, Scenario::JointlyInvalid, Scenario::SubmitterDies}) {
+        for (std::size_t diesAt = 0; diesAt < (scenario == Scenario::SubmitterDies ? 3 : 1); ++diesAt) {
+            const auto steps = runCase({.scenario = scenario, .diesAt = diesAt});
+            for (std::size_t step = 0; step < steps; ++step) {
+                for (const auto fault : faults) {
+                    for (const auto second : faults) {
+                        runCase({.scenario = scenario, .step = step, .fault = fault, .second = second, .lasting = true, .diesAt = diesAt});
+                        for (std::size_t gap = 0; gap < (second == TableFault::None ? 1 : 3); ++gap) {
+                            runCase({.scenario = scenario, .step = step, .fault = fault, .second = second, .gap = gap, .diesAt = diesAt});
+                        }
+                    }
+                }
+            }
+        }
+    }
+    std::cout << "submission fault matrix: " << cases << " cases run, " << failed.size() << " failed\n";
+    for (std::size_t i = 0; i < std::min<std::size_t>(failed.size(), 12); ++i) {
+        std::cout << "  " << failed[i] << '\n';
+    }
+    CHECK(failed.empty());
+}
