--- /dev/null
+++ b/src/requests/rowwriter.hpp
@@ -0,0 +1,76 @@
+// Conditional writes of single rows, batched into one transaction per few milliseconds.
+#pragma once
+
+#include "helpers/millis.hpp"
+#include "ports/table.hpp"
+#include "ports/timer.hpp"
+#include "requests/request.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscusbridge
+{
+
+struct RowWrite {
+    std::string key;
+    /// Row version that must still hold; 0 = absent.
+    std::uint64_t version = 0;
+    std::string value;
+    /// Nobody waits for the write: it goes with the next urgent batch, at the latest after 50 ms.
+    bool lazy = false;
+};
+
+/// `status` as for TablePort::commit. After kAborted, `row` is the newer row that caused it.
+struct RowWriteResult {
+    absl::Status status;
+    Row row;
+};
+
+/// Rows of one batch do not affect each other: when a precondition aborts the batch, each row is read, the changed
+/// ones are reported and the others are written again.
+class RowWriter
+{
+public:
+    using Callback = std::function<void(const RowWriteResult &)>;
+
+    RowWriter(TablePort table, TimerPort timers, RequestCounters &counters);
+
+    /// Calls back once, never from within the call, and not at all after the writer is destroyed. On success `row`
+    /// holds the new version.
+    void write(RowWrite row, Callback callback);
+
+private:
+    struct Job {
+        RowWrite row;
+        Callback callback;
+        int aborts = 0;
+        int readFailures = 0;
+    };
+    using JobPtr = std::shared_ptr<Job>;
+
+    void enqueue(const JobPtr &job);
+    void scheduleFlush();
+    void flush();
+    bool hasUrgent() const;
+    std::vector<JobPtr> takeBatch();
+    void commit(const std::vector<JobPtr> &batch);
+    void handleAbort(const JobPtr &job);
+    void handleRead(const JobPtr &job, const absl::StatusOr<ReadResult> &result);
+    void later(Millis delay, std::function<void()> fn);
+
+    TablePort m_table;
+    TimerPort m_timers;
+    RequestCounters &m_counters;
+    std::deque<JobPtr> m_queue;
+    bool m_urgentScheduled = false;
+    bool m_lazyScheduled = false;
+    int m_commitsInFlight = 0;
+    /// Expires with the writer, so that late callbacks do nothing.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace hibiscusbridge
