Add budgets, wave planning and stepwise VM operations

Cause: the fleet has no owner for maintenance, moves and repair yet. Ruled out: a home pool per VM read from the document alone, because a repair that swaps a VM with a spare would then be undone by a second move. Change: src/fleet with budgets, planner, step functions and manager; VmRow gains declaredPool and failures; a fault matrix over the manager.

--- /dev/null
+++ b/src/fleet/manager.cpp
@@ -0,0 +1,263 @@
+// Carries out the operations that this entry owns.
+#include "fleet/manager.hpp"
+
+#include "fleet/changes.hpp"
+#include "helpers/ids.hpp"
+#include "helpers/log.hpp"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+
+namespace hibiscusbridge
+{
+
+constexpr Millis tickInterval{1'000};
+/// An older view may show a VM as out of service that has returned; shorter than `settleTime`.
+constexpr Millis maxViewAge{3'000};
+constexpr Millis perhapsDoneTime{10'000};
+constexpr Millis rebootRepeatTime{60'000};
+/// Bounds the size of one transaction.
+constexpr std::size_t maxStartsPerCommit = 32;
+
+FleetManager::FleetManager(std::string id, FleetPorts ports)
+    : m_id(std::move(id))
+    , m_ports(std::move(ports))
+{
+}
+
+void FleetManager::start()
+{
+    m_ports.timers.after(tickInterval, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.expired()) {
+            return;
+        }
+        tick();
+        start();
+    });
+}
+
+std::string FleetManager::waitReason(std::string_view vm) const
+{
+    const auto it = m_reasons.find(vm);
+    return it == m_reasons.end() ? std::string() : it->second;
+}
+
+void FleetManager::tick()
+{
+    m_ports.vms.list([this, alive = std::weak_ptr(m_alive)](absl::StatusOr<std::vector<PlatformVm>> list) {
+        if (alive.expired() || !list.ok()) {
+            return;
+        }
+        m_platform = std::move(*list);
+    });
+    act();
+}
+
+void FleetManager::act()
+{
+    if (m_ports.viewAge() > maxViewAge) {
+        return;
+    }
+    m_members = m_ports.liveMembers();
+    m_reasons.clear();
+    const auto health = m_ports.health();
+    const FleetInput input{.view = m_ports.view(), .health = health, .platform = m_platform, .actor = m_id, .now = m_ports.clock.wall()};
+    stepVms(input);
+    refillPools(input);
+    stepWaves(input);
+}
+
+bool FleetManager::owns(std::string_view subject) const
+{
+    const auto score = [&](std::string_view member) {
+        return stableHash(fmt::format("{}/{}", member, subject));
+    };
+    const auto own = score(m_id);
+    return std::ranges::all_of(m_members, [&](const auto &member) { return member == m_id || score(member) < own; });
+}
+
+bool FleetManager::isPending(const std::string &subject)
+{
+    const auto it = m_pending.find(subject);
+    if (it == m_pending.end()) {
+        return false;
+    }
+    const auto &pending = it->second;
+    const bool seen = pending.version > 0 && m_ports.view().version >= pending.version;
+    if (!seen && m_ports.clock.boot() < pending.until) {
+        return true;
+    }
+    m_pending.erase(it);
+    return false;
+}
+
+void FleetManager::commit(const std::string &subject, Transaction transaction)
+{
+    m_pending[subject] = {.until = m_ports.clock.boot() + perhapsDoneTime};
+    m_ports.table.commit(std::move(transaction), [this, subject, alive = std::weak_ptr(m_alive)](absl::StatusOr<std::uint64_t> version) {
+        if (alive.expired()) {
+            return;
+        }
+        if (version.ok()) {
+            m_pending[subject].version = *version;
+            return;
+        }
+        logEvent(LogLevel::Info, "fleet-commit-failed", {{"subject", subject}, {"error", std::string(version.status().message())}});
+        // Otherwise perhaps done: stays pending until the time is over, and then the preconditions decide.
+        if (absl::IsAborted(version.status()) || absl::IsUnavailable(version.status())) {
+            m_pending.erase(subject);
+        }
+    });
+}
+
+void FleetManager::reboot(const std::string &vm)
+{
+    const auto now = m_ports.clock.boot();
+    if (const auto it = m_rebootSentAt.find(vm); it != m_rebootSentAt.end() && now - it->second < rebootRepeatTime) {
+        return;
+    }
+    m_rebootSentAt[vm] = now;
+    m_ports.vms.reboot(vm, [vm](const absl::Status &status) {
+        logEvent(LogLevel::Info, "reboot", {{"vm", vm}, {"result", std::string(status.ok() ? "accepted" : status.message())}});
+    });
+}
+
+void FleetManager::stepVms(const FleetInput &input)
+{
+    for (const auto &[id, vm] : input.view.vms) {
+        const auto subject = "vm/" + id;
+        if (!owns(subject) || isPending(subject)) {
+            continue;
+        }
+        auto step = nextStep(input, id, m_ports.confirmations(vm));
+        m_reasons[id] = step.reason;
+        if (step.kind == StepKind::Commit) {
+            m_rebootSentAt.erase(id);
+            commit(subject, std::move(step.transaction));
+        } else if (step.kind == StepKind::Reboot) {
+            reboot(id);
+        } else if (vm.state == VmState::Active) {
+            reconcileVm(input, vm);
+        }
+    }
+    for (const auto &[id, vm] : input.view.document.vms) {
+        const auto subject = "vm/" + id;
+        if (input.view.vms.contains(id) || !owns(subject) || isPending(subject)) {
+            continue;
+        }
+        if (auto transaction = addVm(input, id); transaction.ok()) {
+            commit(subject, std::move(*transaction));
+        }
+    }
+}
+
+/// The pool that an active VM should move to, or empty.
+static std::string wantedPool(const FleetInput &input, const VmRow &vm)
+{
+    const auto declared = input.view.document.vms.find(vm.id);
+    const auto &home = vm.declaredPool.empty() ? vm.pool : vm.declaredPool;
+    if (declared->second.pool != home) {
+        return declared->second.pool == vm.pool ? std::string() : declared->second.pool;
+    }
+    if (home == vm.pool) {
+        return {};
+    }
+    // A spare that served another pool returns once the pool is complete without it and no wave needs it there.
+    const auto count = countFleet(input.view, input.health);
+    const auto &pool = count.pools.at(vm.pool);
+    const bool waveRuns = std::ranges::any_of(input.view.waves, [](const auto &it) { return it.second.state == WaveState::Running; });
+    return pool.healthy + pool.planned > pool.declared && !waveRuns ? home : std::string();
+}
+
+void FleetManager::reconcileVm(const FleetInput &input, const VmRow &vm)
+{
+    Operation operation;
+    if (!input.view.document.vms.contains(vm.id)) {
+        operation = {.kind = OperationKind::Drain, .reason = std::string(undeclaredReason)};
+    } else if (auto pool = wantedPool(input, vm); !pool.empty()) {
+        operation = {.kind = OperationKind::Move, .destinationPool = pool, .reason = fmt::format("declared in pool {}", pool)};
+    } else {
+        return;
+    }
+    const OperationStart start{vm.id, operation};
+    auto transaction = startOperations(input, std::span(&start, 1));
+    if (!transaction.ok()) {
+        m_reasons[vm.id] = std::string(transaction.status().message());
+        return;
+    }
+    commit("vm/" + vm.id, std::move(*transaction));
+}
+
+void FleetManager::refillPools(const FleetInput &input)
+{
+    const auto count = countFleet(input.view, input.health);
+    for (const auto &[name, pool] : count.pools) {
+        const auto subject = "pool/" + name;
+        const bool lacks = pool.failed > 0 && pool.healthy + pool.planned + pool.inbound < pool.declared;
+        if (pool.budget.spare || !lacks || !owns(subject) || isPending(subject)) {
+            continue;
+        }
+        const auto *spare = findSpare(input.view, count, input.health, name);
+        if (!spare) {
+            continue;
+        }
+        if (auto transaction = startSpareMove(input, spare->id, name, {}); transaction.ok()) {
+            commit(subject, std::move(*transaction));
+        }
+    }
+}
+
+void FleetManager::stepWaves(const FleetInput &input)
+{
+    for (const auto &[id, wave] : input.view.waves) {
+        const auto subject = "wave/" + id;
+        if (wave.state == WaveState::Finished || !owns(subject) || isPending(subject)) {
+            continue;
+        }
+        const auto plan = planWave(input.view, wave, input.health, input.now);
+        for (const auto &it : plan.waiting) {
+            m_reasons[it.vm] = it.reason;
+        }
+        if (plan.finished) {
+            finishWave(input, wave);
+        } else {
+            startWavePlan(input, wave, plan);
+        }
+    }
+}
+
+void FleetManager::startWavePlan(const FleetInput &input, const Wave &wave, const WavePlan &plan)
+{
+    const auto subject = "wave/" + wave.id;
+    // Removals first: the next pass sees them and decides about spares again.
+    std::vector<OperationStart> starts;
+    for (const auto &vm : plan.remove) {
+        if (starts.size() < maxStartsPerCommit) {
+            starts.push_back({vm, {.kind = OperationKind::Reboot, .wave = wave.id, .reason = "wave " + wave.id}});
+        }
+    }
+    if (!starts.empty()) {
+        if (auto transaction = startOperations(input, starts); transaction.ok()) {
+            commit(subject, std::move(*transaction));
+        }
+    } else if (!plan.bringIn.empty()) {
+        const auto &move = plan.bringIn.front();
+        if (auto transaction = startSpareMove(input, move.vm, move.pool, wave.id); transaction.ok()) {
+            commit(subject, std::move(*transaction));
+        }
+    }
+}
+
+void FleetManager::finishWave(const FleetInput &input, const Wave &wave)
+{
+    auto after = wave;
+    after.state = WaveState::Finished;
+    ChangeSet changes(input.view);
+    changes.requireRow(wavePrefix, wave.id, wave.version);
+    changes.audit(wave.id, "wave-finished", input.actor, wave.reason, input.now);
+    auto transaction = changes.transaction();
+    transaction.writes.push_back({std::string(wavePrefix) + wave.id, encodeWave(after)});
+    commit("wave/" + wave.id, std::move(transaction));
+}
+
+} // namespace hibiscusbridge
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -128,6 +128,12 @@
         {"sinceMs", vm.since.count},
         {"maintainedAtMs", vm.maintainedAt.count},
     };
+    if (!vm.declaredPool.empty()) {
+        object["declaredPool"] = vm.declaredPool;
+    }
+    if (vm.failures > 0) {
+        object["failures"] = vm.failures;
+    }
     if (vm.operation) {
         object["operation"] = encodeOperation(*vm.operation);
     }
@@ -149,6 +155,8 @@
             .since = {object.at("sinceMs")},
             .maintainedAt = {object.at("maintainedAtMs")},
         };
+        vm.declaredPool = object.value("declaredPool", std::string());
+        vm.failures = object.value("failures", 0U);
         if (const auto it = object.find("operation"); it != object.end()) {
             vm.operation = decodeOperation(*it);
         }
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -73,6 +73,10 @@
     Millis maintainedAt;
     /// Present exactly while the state is neither Active nor Failed without repair.
     std::optional<Operation> operation;
+    /// Declared pool that `pool` stands for; differs from `pool` while a spare serves another pool. Empty: the same.
+    std::string declaredPool;
+    /// Failures without a stable period between them; repair backs off by it.
+    std::uint32_t failures = 0;
     /// Commit version of the row; not part of the stored value.
     std::uint64_t version = 0;
 };
