--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -113,24 +113,6 @@
                 [](S &s, V v) {
                     s.platformTimeout = {toNumber(v)};
                 }},
-    SettingSpec{"peer-timeout-ms",
-                SettingKind::Milliseconds,
-                "2000",
-                200,
-                60'000,
-                "time after which a silent entry is not heard",
-                [](S &s, V v) {
-                    s.peerTimeout = {toNumber(v)};
-                }},
-    SettingSpec{"view-freshness-ms",
-                SettingKind::Milliseconds,
-                "3000",
-                500,
-                60'000,
-                "age up to which a read of the platform is recent",
-                [](S &s, V v) {
-                    s.viewFreshness = {toNumber(v)};
-                }},
     SettingSpec{"max-body-bytes",
                 SettingKind::Count,
                 "1048576",
@@ -263,9 +245,6 @@
     if (std::find(levels.begin(), levels.end(), settings.logLevel) == levels.end()) {
         return absl::InvalidArgumentError("--log-level: '" + settings.logLevel + "' is not debug, info, warn or error");
     }
-    if (settings.viewFreshness < settings.peerTimeout) {
-        return absl::InvalidArgumentError("--view-freshness-ms must not be less than --peer-timeout-ms");
-    }
     return absl::OkStatus();
 }
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -28,8 +28,6 @@
     Millis readyDelay;
     Millis stopGrace;
     Millis platformTimeout;
-    Millis peerTimeout;
-    Millis viewFreshness;
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxConnections = 0;
     std::string bootstrapToken;
--- a/src/entry/components.cpp
+++ b/src/entry/components.cpp
@@ -55,13 +55,20 @@
                                             SlotManagerPorts{.clock = c.clock,
                                                              .timers = c.loop.timers(),
                                                              .peers = c.peerLink->port(),
-                                                             .mayServe = [&c] { return c.mayServe().ok(); }},
+                                                             .mayServe =
+                                                                 [&c] {
+                                                                     return c.mayServe().ok();
+                                                                 }},
                                             LimitsSettings{.longestDeadline = maxServiceDeadline});
     c.views->onChange([&c] { c.slots->applyView(c.view()); });
     c.once = std::make_unique<OnceManager>(c.platform.table(), c.loop.timers(), c.clock, c.requestCounters);
     RequestPorts ports{.target = c.targetHttp.port(), .slots = c.slots->port(), .clock = c.clock};
-    ports.view = [&c]() -> const View & { return c.view(); };
-    ports.mayServe = [&c] { return c.mayServe(); };
+    ports.view = [&c]() -> const View & {
+        return c.view();
+    };
+    ports.mayServe = [&c] {
+        return c.mayServe();
+    };
     c.requests = std::make_unique<RequestManager>(std::move(ports), *c.once, c.requestCounters);
 }
 
@@ -70,11 +77,21 @@
     c.drains = std::make_unique<DrainWatch>(c.platform.table(), c.loop.timers(), c.clock, *c.views, *c.membership, *c.requests);
     c.prober = std::make_unique<Prober>(c.targetHttp.port(), c.loop.timers(), c.clock, *c.views);
     FleetPorts ports{.table = c.platform.table(), .vms = c.platform.vms(), .timers = c.loop.timers(), .clock = c.clock};
-    ports.view = [&c]() -> const View & { return c.view(); };
-    ports.viewAge = [&c] { return c.clock.boot() - c.views->lastRead().value_or(Millis{}); };
-    ports.health = [&c] { return c.health(); };
-    ports.confirmations = [&c](const VmRow &vm) { return c.drains->confirmations(vm); };
-    ports.liveMembers = [&c] { return c.liveMembers(); };
+    ports.view = [&c]() -> const View & {
+        return c.view();
+    };
+    ports.viewAge = [&c] {
+        return c.clock.boot() - c.views->lastRead().value_or(Millis{});
+    };
+    ports.health = [&c] {
+        return c.health();
+    };
+    ports.confirmations = [&c](const VmRow &vm) {
+        return c.drains->confirmations(vm);
+    };
+    ports.liveMembers = [&c] {
+        return c.liveMembers();
+    };
     c.fleet = std::make_unique<FleetManager>(c.settings.entryId, std::move(ports));
 }
 
@@ -96,23 +113,18 @@
 
 static absl::Status makeMembership(Components &c)
 {
-    PeerLinkOptions options{.address = c.settings.peerAddress, .publicKey = c.settings.curvePublicKey, .secretKey = c.settings.curveSecretKey};
+    PeerLinkOptions options{
+        .address = c.settings.peerAddress, .publicKey = c.settings.curvePublicKey, .secretKey = c.settings.curveSecretKey};
     auto link = PeerLink::listen(c.loop, std::move(options), [&c](const wire::Envelope &envelope) { dispatchPeerMessage(c, envelope); });
     if (!link.ok()) {
         return link.status();
     }
     c.peerLink = std::move(*link);
-    c.views = std::make_unique<ViewManager>(ViewManager::Identity{c.settings.entryId, c.incarnation},
-                                            c.platform.table(),
-                                            c.peerLink->port(),
-                                            c.loop.timers(),
-                                            c.clock);
+    c.views = std::make_unique<ViewManager>(
+        ViewManager::Identity{c.settings.entryId, c.incarnation}, c.platform.table(), c.peerLink->port(), c.loop.timers(), c.clock);
     const Member self{.id = c.settings.entryId, .incarnation = c.incarnation, .address = c.settings.peerAddress, .zone = c.settings.zone};
-    Membership::Ports ports{.table = c.platform.table(),
-                            .vms = c.platform.vms(),
-                            .peers = c.peerLink->port(),
-                            .timers = c.loop.timers(),
-                            .clock = c.clock};
+    Membership::Ports ports{
+        .table = c.platform.table(), .vms = c.platform.vms(), .peers = c.peerLink->port(), .timers = c.loop.timers(), .clock = c.clock};
     c.membership = std::make_unique<Membership>(self, c.settings.seedPeers, std::move(ports), *c.views);
     c.membership->setInFlightSource([&c] { return inFlightToInactiveVms(c); });
     return absl::OkStatus();
--- a/src/entry/documentroutes.cpp
+++ b/src/entry/documentroutes.cpp
@@ -82,7 +82,8 @@
     const auto status = statusOf(result.outcome);
     const auto problems = problemLines(result.problems);
     if (status == 200) {
-        return jsonResponse({{"version", result.version}, {"text", problems + "accepted at version " + std::to_string(result.version) + "\n"}});
+        return jsonResponse(
+            {{"version", result.version}, {"text", problems + "accepted at version " + std::to_string(result.version) + "\n"}});
     }
     return errorResponse(status, std::string(toString(result.outcome)) + ": " + result.reason + "\n" + problems + result.diff);
 }
--- a/src/entry/drainwatch.hpp
+++ b/src/entry/drainwatch.hpp
@@ -17,7 +17,8 @@
 class DrainWatch
 {
 public:
-    DrainWatch(TablePort table, TimerPort timers, Clock clock, ViewManager &views, const Membership &membership, const RequestManager &requests);
+    DrainWatch(
+        TablePort table, TimerPort timers, Clock clock, ViewManager &views, const Membership &membership, const RequestManager &requests);
 
     void start();
     Confirmations confirmations(const VmRow &vm) const;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -66,9 +66,9 @@
     }
     m_callerServer = std::move(*callers);
     auto operators = HttpServer::listen(
-        m_loop, {.address = m_settings.operatorAddress, .maxBodyBytes = maxOperatorBodyBytes}, [this](const HttpRequest &request, HttpResponder respond) {
-            handleOperator(*m_components, request, std::move(respond));
-        });
+        m_loop,
+        {.address = m_settings.operatorAddress, .maxBodyBytes = maxOperatorBodyBytes},
+        [this](const HttpRequest &request, HttpResponder respond) { handleOperator(*m_components, request, std::move(respond)); });
     if (!operators.ok()) {
         return operators.status();
     }
@@ -90,7 +90,10 @@
     checkSuperseded();
     logEvent(LogLevel::Info,
              "started",
-             {{"zone", m_settings.zone}, {"incarnation", m_components->incarnation}, {"callers", m_settings.callerAddress}, {"operators", m_settings.operatorAddress}});
+             {{"zone", m_settings.zone},
+              {"incarnation", m_components->incarnation},
+              {"callers", m_settings.callerAddress},
+              {"operators", m_settings.operatorAddress}});
     return absl::OkStatus();
 }
 
@@ -136,7 +139,9 @@
 
 void Entry::leave()
 {
-    const auto stop = [this] { m_loop.timers().after(flushTime, [this] { m_loop.stop(); }); };
+    const auto stop = [this] {
+        m_loop.timers().after(flushTime, [this] { m_loop.stop(); });
+    };
     m_components->membership->leave([stop] {
         logEvent(LogLevel::Info, "left");
         stop();
--- a/src/entry/fleetroutes.cpp
+++ b/src/entry/fleetroutes.cpp
@@ -17,7 +17,8 @@
 static std::string reasonOf(const HttpRequest &request, std::string_view fallback)
 {
     const auto body = json::parse(request.body, nullptr, false);
-    return body.is_object() && body.contains("reason") && body["reason"].is_string() ? body["reason"].get<std::string>() : std::string(fallback);
+    return body.is_object() && body.contains("reason") && body["reason"].is_string() ? body["reason"].get<std::string>()
+                                                                                     : std::string(fallback);
 }
 
 static FleetInput inputFor(const Components &components, const FleetHealth &health, std::string_view actor)
@@ -28,13 +29,14 @@
 /// Commits and answers with the version and the given fields.
 static void commitAndRespond(Components &components, Transaction transaction, json fields, HttpResponder respond)
 {
-    components.platform.table().commit(std::move(transaction), [fields = std::move(fields), respond = std::move(respond)](auto version) mutable {
-        if (!version.ok()) {
-            return respond(errorResponse(version.status()));
-        }
-        fields["version"] = *version;
-        respond(jsonResponse(fields));
-    });
+    components.platform.table().commit(std::move(transaction),
+                                       [fields = std::move(fields), respond = std::move(respond)](auto version) mutable {
+                                           if (!version.ok()) {
+                                               return respond(errorResponse(version.status()));
+                                           }
+                                           fields["version"] = *version;
+                                           respond(jsonResponse(fields));
+                                       });
 }
 
 void drainVm(Components &components, const HttpRequest &request, const std::string &vm, HttpResponder respond)
@@ -51,7 +53,7 @@
     const OperationStart start{vm, {.kind = OperationKind::Drain, .reason = reasonOf(request, "operator request")}};
     auto transaction = startOperations(inputFor(components, health, team), std::span(&start, 1));
     if (!transaction.ok()) {
-        return respond(errorResponse(422, transaction.status().message()));
+        return respond(errorResponse(422, std::string(transaction.status().message())));
     }
     commitAndRespond(components, std::move(*transaction), {{"vm", vm}, {"state", "announced"}}, std::move(respond));
 }
@@ -69,7 +71,7 @@
     const auto health = components.health();
     auto transaction = undoOperation(inputFor(components, health, team), vm, reasonOf(request, "operator request"));
     if (!transaction.ok()) {
-        return respond(errorResponse(422, transaction.status().message()));
+        return respond(errorResponse(422, std::string(transaction.status().message())));
     }
     commitAndRespond(components, std::move(*transaction), {{"vm", vm}, {"state", "active"}}, std::move(respond));
 }
@@ -111,7 +113,10 @@
 void startWave(Components &components, const HttpRequest &request, const std::string &, HttpResponder respond)
 {
     const auto team = teamOf(components.view().document, request);
-    Wave wave{.id = randomId().substr(0, waveIdLength), .startedBy = team, .startedAt = components.clock.wall(), .reason = reasonOf(request, "maintenance")};
+    Wave wave{.id = randomId().substr(0, waveIdLength),
+              .startedBy = team,
+              .startedAt = components.clock.wall(),
+              .reason = reasonOf(request, "maintenance")};
     try {
         wave.pools = json::parse(request.body.empty() ? "{}" : request.body).value("pools", std::vector<std::string>());
     } catch (const json::exception &) {
@@ -123,7 +128,12 @@
     commitAndRespond(components, waveTransaction(components, wave, "wave.start", team), {{"wave", wave.id}}, std::move(respond));
 }
 
-static void changeWave(Components &components, const HttpRequest &request, const std::string &id, WaveState state, std::string_view action, HttpResponder respond)
+static void changeWave(Components &components,
+                       const HttpRequest &request,
+                       const std::string &id,
+                       WaveState state,
+                       std::string_view action,
+                       HttpResponder respond)
 {
     const auto it = components.view().waves.find(id);
     if (it == components.view().waves.end()) {
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -25,7 +25,12 @@
     }
     void counter(const std::string &name, const std::string &help, std::uint64_t value, const Labels &labels = {})
     {
-        prometheus::BuildCounter().Name("hibiscusbridge_" + name).Help(help).Register(m_registry).Add(labels).Increment(static_cast<double>(value));
+        prometheus::BuildCounter()
+            .Name("hibiscusbridge_" + name)
+            .Help(help)
+            .Register(m_registry)
+            .Add(labels)
+            .Increment(static_cast<double>(value));
     }
     std::string text() const
     {
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -15,7 +15,9 @@
 
 bool ownsSubject(std::string_view self, std::span<const std::string> members, std::string_view subject)
 {
-    const auto score = [&](std::string_view member) { return stableHash(std::string(member) + "/" + std::string(subject)); };
+    const auto score = [&](std::string_view member) {
+        return stableHash(std::string(member) + "/" + std::string(subject));
+    };
     const auto own = score(self);
     return std::all_of(members.begin(), members.end(), [&](const auto &member) { return member == self || score(member) < own; });
 }
--- a/src/entry/respond.cpp
+++ b/src/entry/respond.cpp
@@ -38,7 +38,7 @@
 
 HttpResponse errorResponse(const absl::Status &status)
 {
-    return errorResponse(httpStatusOf(status), status.message());
+    return errorResponse(httpStatusOf(status), std::string(status.message()));
 }
 
 std::string percentDecode(std::string_view text)
@@ -46,7 +46,8 @@
     std::string out;
     for (std::size_t i = 0; i < text.size(); ++i) {
         unsigned char c = 0;
-        if (text[i] == '%' && i + 2 < text.size() && std::from_chars(text.data() + i + 1, text.data() + i + 3, c, 16).ptr == text.data() + i + 3) {
+        if (text[i] == '%' && i + 2 < text.size()
+            && std::from_chars(text.data() + i + 1, text.data() + i + 3, c, 16).ptr == text.data() + i + 3) {
             out += static_cast<char>(c);
             i += 2;
         } else {
--- a/src/requests/request.cpp
+++ b/src/requests/request.cpp
@@ -22,12 +22,6 @@
     "Content-Length",
 };
 
-bool equalHeaderNames(std::string_view a, std::string_view b)
-{
-    return std::equal(
-        a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return absl::ascii_tolower(x) == absl::ascii_tolower(y); });
-}
-
 std::string_view toString(RequestOutcome outcome)
 {
     switch (outcome) {
@@ -41,21 +35,6 @@
     return "invalid";
 }
 
-bool hasHeader(const std::vector<Header> &headers, std::string_view name)
-{
-    return std::any_of(headers.begin(), headers.end(), [&](const Header &it) { return equalHeaderNames(it.name, name); });
-}
-
-std::string_view headerValue(const std::vector<Header> &headers, std::string_view name)
-{
-    for (const auto &it : headers) {
-        if (equalHeaderNames(it.name, name)) {
-            return it.value;
-        }
-    }
-    return {};
-}
-
 std::vector<Header> endToEndHeaders(const std::vector<Header> &headers)
 {
     std::vector<std::string> dropped(hopByHopHeaders.begin(), hopByHopHeaders.end());
--- a/src/requests/request.hpp
+++ b/src/requests/request.hpp
@@ -55,13 +55,6 @@
 
 std::string_view toString(RequestOutcome outcome);
 
-/// Header names are compared without case.
-bool equalHeaderNames(std::string_view a, std::string_view b);
-bool hasHeader(const std::vector<Header> &headers, std::string_view name);
-
-/// The value of the first header with this name, compared without case; empty when there is none.
-std::string_view headerValue(const std::vector<Header> &headers, std::string_view name);
-
 /// Drops headers that belong to one connection only (RFC 9110, section 7.6.1), those named by Connection, and
 /// Content-Length, which the sender of the copy sets itself.
 std::vector<Header> endToEndHeaders(const std::vector<Header> &headers);
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,5 +1,5 @@
 // Stand-in of the platform: table service, VM list and VM actions over HTTP, with faults switched on by requests.
-// POST /control {"outage":bool,"slowMs":n,"loseReplies":n,"olderReads":bool,"leaving":[ids]}
+// POST /control {"outage":bool,"slowMs":n,"loseReplies":n,"olderReads":bool,"leaving":[ids],"gone":[ids]}
 #include "adapters/httpserver.hpp"
 
 #include <charconv>
@@ -28,6 +28,7 @@
     std::uint64_t version = 0;
     std::map<std::string, std::uint64_t> bootCounts;
     std::set<std::string> leaving;
+    std::set<std::string> gone;
     bool outage = false;
     bool olderReads = false;
     Millis slow;
@@ -101,14 +102,18 @@
     return jsonResponse(200, {{"version", upTo}, {"rows", rows}});
 }
 
+/// VMs with a row, and entries with a registration.
 HttpResponse listVms(const Platform &platform)
 {
     json vms = json::array();
     for (const auto &[key, row] : platform.rows) {
-        if (!key.starts_with("view/vm/") || !row.value) {
+        if ((!key.starts_with("view/vm/") && !key.starts_with("registration/")) || !row.value) {
+            continue;
+        }
+        const auto id = key.substr(key.rfind('/') + 1);
+        if (platform.gone.contains(id)) {
             continue;
         }
-        const auto id = key.substr(std::string_view("view/vm/").size());
         const auto boots = platform.bootCounts.find(id);
         vms.push_back({{"id", id},
                        {"state", platform.leaving.contains(id) ? "leaving" : "live"},
@@ -127,6 +132,9 @@
     for (const auto &it : request.value("leaving", json::array())) {
         platform.leaving.insert(it.get<std::string>());
     }
+    for (const auto &it : request.value("gone", json::array())) {
+        platform.gone.insert(it.get<std::string>());
+    }
     return jsonResponse(200, {{"version", platform.version}, {"reads", platform.reads}, {"commits", platform.commits}});
 }
 
