--- a/src/fleet/budget.cpp
+++ b/src/fleet/budget.cpp
@@ -248,7 +248,8 @@
     --after.healthy;
     ++after.planned;
     auto violation = ownBudgetViolation(after, spare.pool);
-    return {.allowed = violation.empty(), .usesSpares = true, .reason = std::move(violation)};
+    const bool allowed = violation.empty();
+    return {.allowed = allowed, .usesSpares = true, .reason = std::move(violation)};
 }
 
 RemovalDecision removalDecision(const View &view, std::span<const std::string> vms, const FleetHealth &health)
--- a/src/fleet/step.hpp
+++ b/src/fleet/step.hpp
@@ -56,9 +56,9 @@
 inline constexpr Millis rebootTimeout{600'000};
 inline constexpr Millis verifyTimeout{300'000};
 inline constexpr Millis backOffBase{60'000};
-inline constexpr Millis backOffLimit{4 * 3'600'000};
+inline constexpr Millis backOffLimit{14'400'000};
 /// A failure this long after the last change of state does not count as flapping.
-inline constexpr Millis stableTime{6 * 3'600'000};
+inline constexpr Millis stableTime{21'600'000};
 
 /// Starts planned operations together, in one transaction. kFailedPrecondition with the reason when the budget refuses.
 absl::StatusOr<Transaction> startOperations(const FleetInput &input, std::span<const OperationStart> starts);
