--- a/src/document/check.hpp
+++ b/src/document/check.hpp
@@ -8,8 +8,8 @@
 
 /// Section that defines teams, section owners and weights.
 inline constexpr std::string_view fleetSection = "fleet";
-/// Longest deadline of a service.
-inline constexpr Millis maxServiceDeadline{60'000};
+/// Longest deadline of a service. Slots change hands, and drains of silent entries end, only after this time.
+inline constexpr Millis maxServiceDeadline{10'000};
 /// Longest name of a team, section, service, pool or VM.
 inline constexpr std::size_t maxNameLength = 63;
 
--- a/src/limits/slotmanager.cpp
+++ b/src/limits/slotmanager.cpp
@@ -60,11 +60,15 @@
     // applied the view; the second margin covers the difference of the clocks' rates during this wait.
     const auto wait = m_settings.viewSpread + leaseTime() + m_settings.leaseMargin * 2;
     const auto at = now();
+    // A VM that appears while the member list stays as it is has no former owner.
+    const bool sameMembers = m_membersVersion && *m_membersVersion == view.members.version;
+    m_membersVersion = view.members.version;
     for (const auto &[id, row] : view.vms) {
+        const bool isNew = sameMembers && !m_vms.contains(id);
         auto &vm = m_vms[id];
         vm.pool = row.pool;
         vm.isActive = row.state == VmState::Active;
-        vm.share.set(isMember ? slotShare(id, row.slots, members, m_id) : 0, at, wait);
+        vm.share.set(isMember ? slotShare(id, row.slots, members, m_id) : 0, at, isNew ? Millis{} : wait);
     }
     for (auto &[id, vm] : m_vms) {
         if (!view.vms.contains(id)) {
--- a/src/limits/slotmanager.hpp
+++ b/src/limits/slotmanager.hpp
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace hibiscusbridge
@@ -157,6 +158,8 @@
     LimitsSettings m_settings;
     LimitsCounters m_counters;
     std::map<std::string, Member> m_members;
+    /// Row version of the member list last applied.
+    std::optional<std::uint64_t> m_membersVersion;
     std::map<std::string, Vm> m_vms;
     std::map<std::string, Pool> m_pools;
     std::map<std::uint64_t, InFlight> m_inFlight;
