--- a/src/helpers/log.cpp
+++ b/src/helpers/log.cpp
@@ -81,6 +81,7 @@
 
 void setupLog(std::string_view level, std::string_view entry)
 {
+    spdlog::drop("hibiscusbridge"); // A second call replaces the log of the first.
     auto logger = spdlog::stderr_logger_st("hibiscusbridge");
     spdlog::set_default_logger(logger);
     spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l entry=" + escapeLogValue(entry) + " %v", spdlog::pattern_time_type::utc);
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -4,6 +4,7 @@
 #include "adapters/httpclient.hpp"
 #include "helpers/ids.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -191,6 +192,14 @@
     return exchange("PUT", "http://" + entries.front().operators + "/v1/document/sections/" + section, text, headers);
 }
 
+bool Fleet::allJoined() const
+{
+    return std::all_of(entries.begin(), entries.end(), [&](const EntryProcess &entry) {
+        const auto answer = exchange("GET", "http://" + entry.operators + "/v1/status");
+        return answer.status == 200 && nlohmann::json::parse(answer.body).at("members").size() == entries.size();
+    });
+}
+
 Answer Fleet::call(std::size_t entry,
                    const std::string &method,
                    const std::string &path,
@@ -241,6 +250,8 @@
     }
     waitFor([&] { return exchange("GET", "http://" + fleet.entries.front().operators + "/v1/status").status == 200; }, {5'000});
     waitFor([&] { return fleet.submit("fleet", fleetSection(), operatorToken).status == 200; }, {10'000});
+    // Slots of VMs that appear after the entries have joined are usable at once.
+    waitFor([&] { return fleet.allJoined(); }, {20'000});
     waitFor([&] { return fleet.submit("pools", poolSection(fleet, pools, vmsPerPool), operatorToken).status == 200; }, {10'000});
     for (std::size_t i = 0; i < entries; ++i) {
         waitFor([&] { return fleet.call(i, "GET", "/svc" + std::to_string(pools - 1) + "/").status == 200; }, {10'000});
--- a/tests/process/harness.hpp
+++ b/tests/process/harness.hpp
@@ -84,6 +84,8 @@
     nlohmann::json targetReport() const;
     /// Submits a section through the first entry.
     Answer submit(const std::string &section, const std::string &text, const std::string &token, std::uint64_t baseVersion = 0) const;
+    /// True when each entry's member list has as many members as there are entries.
+    bool allJoined() const;
     Answer call(std::size_t entry,
                 const std::string &method,
                 const std::string &path,
