--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -355,6 +355,7 @@
 std::string commandOverview()
 {
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(commands.size());
     for (const auto &it : commands) {
         rows.push_back({"  " + std::string(it.name), std::string(it.help)});
     }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -37,13 +37,19 @@
 static ExitCode run(const std::vector<std::string> &arguments)
 {
     if (arguments.empty() || arguments[0] == "--help" || arguments[0] == "help") {
-        std::cout << "usage: hibiscusbridge COMMAND [--help]\n\n  serve  run an entry\n  version\n" << commandOverview();
+        std::cout << "usage: hibiscusbridge COMMAND [--help]\n\n  serve            run an entry\n  settings         settings of serve as a "
+                     "table\n  version\n"
+                  << commandOverview();
         return arguments.empty() ? ExitCode::Usage : ExitCode::Success;
     }
     if (arguments[0] == "version" || arguments[0] == "--version") {
         std::cout << versionText;
         return ExitCode::Success;
     }
+    if (arguments[0] == "settings") {
+        std::cout << settingsMarkdown();
+        return ExitCode::Success;
+    }
     if (arguments[0] == "serve") {
         return serve({arguments.begin() + 1, arguments.end()});
     }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -53,3 +53,10 @@
     CHECK_FALSE(readWith({}, {{"HIBISCUSBRIDGE_BOOTSTRAP_TOKEN_FILE", "/nonexistent"}}).ok());
     CHECK_FALSE(readWith({}, {{"HIBISCUSBRIDGE_CURVE_PUBLIC_KEY", "x"}}).ok());
 }
+
+TEST_CASE("the operators' page has the table of settings as the program knows it", "[settings]")
+{
+    std::ifstream file(OPERATIONS_PAGE);
+    const std::string page(std::istreambuf_iterator<char>(file), {});
+    CHECK(page.find(settingsMarkdown()) != std::string::npos);
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Checks formatting and runs the linter over the project's own sources. With file names, checks only those.
+# LINT_JOBS sets how many linters run at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,5 +17,5 @@
     case "$it" in *.cpp) sources+=("$it") ;; esac
 done
 [ "${#sources[@]}" -eq 0 ] && exit 0
-printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>/dev/null
+printf '%s\n' "${sources[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 2 clang-tidy -p build --quiet 2>/dev/null
 echo "lint: ${#files[@]} files clean"
