--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -1,4 +1,5 @@
-// Stand-in of target VMs: one process serves one VM per address given. It counts each request it carries out.
+// Stand-in of target VMs: one process serves one VM per address given. It counts each request it carries out, but no
+// health probe (X-Probe).
 // The path ending chooses the behaviour; GET /control reports the counts.
 #include "adapters/httpserver.hpp"
 
@@ -53,6 +54,9 @@
         }
         return respond({.body = report(targets).dump()});
     }
+    if (!headerValue(request.headers, "X-Probe").empty()) {
+        return respond({.status = targets.failAll ? 500 : 200});
+    }
     const auto id = std::string(headerValue(request.headers, "X-Request-Id"));
     const auto key = std::string(headerValue(request.headers, "Idempotency-Key"));
     ++targets.byRequest[id];
