Name the conflicting keys of an aborted commit

Cause: after an abort RowWriter read every row of its batch, although the platform's answer names the keys.

Ruled out: putting the rows that did not conflict back into the queue. New rows of the next batch may conflict again and hold them up.

Change: conflictError and conflictingKeys (src/ports/conflicts) carry the keys as a payload of the status. RowWriter reads only the named rows and commits the others at once without new rows; this is outside the spacing, as the aborted transaction wrote nothing. When no row of the batch is named, each is read as before. FakeTable names the keys unless namesConflicts is false.

Conclusion: the number of reads follows the conflicts, not the batch.

--- a/src/adapters/platformclient.cpp
+++ b/src/adapters/platformclient.cpp
@@ -1,6 +1,8 @@
 // Platform calls over HTTP and JSON.
 #include "adapters/platformclient.hpp"
 
+#include "ports/conflicts.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace hibiscusbridge
@@ -76,7 +78,7 @@
     try {
         const auto object = json::parse(answer.body);
         if (answer.status == 409) {
-            return absl::AbortedError("precondition failed: " + object.at("conflicts").dump());
+            return conflictError(object.at("conflicts").get<std::vector<std::string>>());
         }
         if (answer.status != 200) {
             return absl::InvalidArgumentError("platform rejected the transaction: status " + std::to_string(answer.status));
--- a/src/requests/rowwriter.cpp
+++ b/src/requests/rowwriter.cpp
@@ -1,7 +1,10 @@
 // Batching of conditional row writes.
 #include "requests/rowwriter.hpp"
 
+#include "ports/conflicts.hpp"
+
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace hibiscusbridge
@@ -142,20 +145,41 @@
         }
         --m_commitsInFlight;
         scheduleFlush();
+        if (absl::IsAborted(version.status())) {
+            handleAbort(batch, conflictingKeys(version.status()));
+            return;
+        }
         for (const auto &job : batch) {
             if (alive.expired()) {
                 return; // A callback may destroy the writer.
             }
-            if (absl::IsAborted(version.status())) {
-                handleAbort(job);
-                continue;
-            }
             job->callback({version.status(), {job->row.key, std::nullopt, version.ok() ? *version : 0}});
         }
     });
 }
 
-void RowWriter::handleAbort(const JobPtr &job)
+void RowWriter::handleAbort(const std::vector<JobPtr> &batch, const std::vector<std::string> &conflicts)
+{
+    const auto isInnocent = [&](const JobPtr &job) {
+        return std::find(conflicts.begin(), conflicts.end(), job->row.key) == conflicts.end();
+    };
+    std::vector<JobPtr> innocent;
+    std::copy_if(batch.begin(), batch.end(), std::back_inserter(innocent), isInnocent);
+    if (innocent.size() == batch.size()) {
+        innocent.clear(); // No row of the batch was named: each one is read.
+    }
+    for (const auto &job : batch) {
+        if (innocent.empty() || !isInnocent(job)) {
+            readRow(job);
+        }
+    }
+    // Without new rows, which could conflict again, and without the spacing, as nothing has been written.
+    if (!innocent.empty()) {
+        commit(innocent);
+    }
+}
+
+void RowWriter::readRow(const JobPtr &job)
 {
     ++m_counters.onceReads;
     m_table.read({.prefix = job->row.key}, [this, alive = std::weak_ptr(m_alive), job](const absl::StatusOr<ReadResult> &result) {
@@ -172,7 +196,7 @@
             job->callback({absl::UnavailableError("row could not be read after a conflict"), {}});
             return;
         }
-        later(rereadDelay, [this, job] { handleAbort(job); });
+        later(rereadDelay, [this, job] { readRow(job); });
         return;
     }
     Row row{.key = job->row.key};
--- a/src/requests/rowwriter.hpp
+++ b/src/requests/rowwriter.hpp
@@ -31,8 +31,8 @@
 };
 
 /// A batch is committed at once when no other was in the last 30 ms, otherwise when these are over.
-/// Rows of one batch do not affect each other: when a precondition aborts the batch, each row is read, the changed
-/// ones are reported and the others are written again.
+/// Rows of one batch do not affect each other: when a precondition aborts the batch, the rows that the platform names are
+/// read (all of them when it names none), the changed ones are reported and the others are written again.
 class RowWriter
 {
 public:
@@ -61,7 +61,8 @@
     bool isDue() const;
     std::vector<JobPtr> takeBatch();
     void commit(const std::vector<JobPtr> &batch);
-    void handleAbort(const JobPtr &job);
+    void handleAbort(const std::vector<JobPtr> &batch, const std::vector<std::string> &conflicts);
+    void readRow(const JobPtr &job);
     void handleRead(const JobPtr &job, const absl::StatusOr<ReadResult> &result);
     void later(Millis delay, std::function<void()> fn);
 
--- a/tests/fakes/faketable.cpp
+++ b/tests/fakes/faketable.cpp
@@ -1,6 +1,8 @@
 // An in-memory table service with injected faults.
 #include "fakes/faketable.hpp"
 
+#include "ports/conflicts.hpp"
+
 namespace hibiscusbridge
 {
 
@@ -56,11 +58,15 @@
 
 absl::StatusOr<std::uint64_t> FakeTable::apply(const Transaction &transaction)
 {
+    std::vector<std::string> conflicts;
     for (const auto &precondition : transaction.preconditions) {
         if (row(precondition.key).version != precondition.version) {
-            return absl::AbortedError("precondition failed: " + precondition.key);
+            conflicts.push_back(precondition.key);
         }
     }
+    if (!conflicts.empty()) {
+        return namesConflicts ? conflictError(conflicts) : absl::AbortedError("precondition failed: " + conflicts.front());
+    }
     if (transaction.writes.empty()) {
         return m_version;
     }
--- a/tests/fakes/faketable.hpp
+++ b/tests/fakes/faketable.hpp
@@ -38,6 +38,8 @@
     Millis replyTime{2};
     Millis slowBy{2'000};
     Millis lateBy{5'000};
+    /// An aborted commit carries the keys of its conflicts.
+    bool namesConflicts = true;
     /// Calls so far, refused ones included.
     std::size_t calls = 0;
     std::size_t commits = 0;
--- a/tests/unit/httpclient_test.cpp
+++ b/tests/unit/httpclient_test.cpp
@@ -1,5 +1,6 @@
 // The HTTP client must never send a request twice by itself and never pass on an answer that is not whole.
-#include "adapters/httpclient.hpp"
+#include "adapters/platformclient.hpp"
+#include "ports/conflicts.hpp"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -161,3 +162,21 @@
     CHECK(test.send(server.address(), "POST", [] { return false; }).outcome == TargetOutcome::NotSent);
     CHECK(server.requests() == 0);
 }
+
+TEST_CASE("an aborted commit carries the keys that the platform names", "[platformclient]")
+{
+    // Guards against a read of every row of a batch when one of them has changed.
+    const std::string body = R"({"conflicts":["once/pay/a b","view/vm/\u00e4"]})";
+    ScriptedServer server({"HTTP/1.1 409 Conflict\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
+    ClientUnderTest test;
+    PlatformClient platform(test.client, {.address = server.address(), .timeout = {500}});
+    absl::Status status;
+    platform.table().commit({}, [&](const absl::StatusOr<std::uint64_t> &version) {
+        status = version.status();
+        test.loop.stop();
+    });
+    test.loop.run();
+    CHECK(absl::IsAborted(status));
+    CHECK(conflictingKeys(status) == std::vector<std::string>{"once/pay/a b", "view/vm/\u00e4"});
+    CHECK(conflictingKeys(absl::AbortedError("unnamed")).empty());
+}
--- a/tests/unit/requests_test.cpp
+++ b/tests/unit/requests_test.cpp
@@ -240,6 +240,7 @@
 TEST_CASE("one used key in a batch does not refuse the other keys of the batch", "[once]")
 {
     Bench bench;
+    bench.table.namesConflicts = GENERATE(true, false);
     bench.ask(post("used", "x"));
     bench.entry.answers.clear();
     bench.entry.ask(post("used", "changed"));
@@ -253,6 +254,8 @@
     };
     CHECK(std::count_if(bench.entry.answers.begin(), bench.entry.answers.end(), finished) == 20);
     CHECK(bench.executions.size() == 21);
+    // The used key and the second new0, and each row of the batch only when the platform names no key.
+    CHECK((!bench.table.namesConflicts || bench.entry.counters.onceReads == 2));
 }
 
 TEST_CASE("retries stay within the budget while every VM fails", "[retries]")
