--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -113,15 +113,16 @@
                 [](S &s, V v) {
                     s.platformTimeout = {toNumber(v)};
                 }},
-    SettingSpec{"once-retention-ms",
-                SettingKind::Milliseconds,
-                "86400000",
-                3'600'000,
-                2'592'000'000,
-                "time to keep at-most-once records after their last write; a key may be used again after it; the longest of all entries counts",
-                [](S &s, V v) {
-                    s.onceRetention = {toNumber(v)};
-                }},
+    SettingSpec{
+        "once-retention-ms",
+        SettingKind::Milliseconds,
+        "86400000",
+        3'600'000,
+        2'592'000'000,
+        "time to keep at-most-once records after their last write; a key may be used again after it; the longest of all entries counts",
+        [](S &s, V v) {
+            s.onceRetention = {toNumber(v)};
+        }},
     SettingSpec{"max-body-bytes",
                 SettingKind::Count,
                 "1048576",
