--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -130,7 +130,7 @@
 /// test cannot occupy them in between.
 static std::string freeAddress()
 {
-    static int next = 10'000 + static_cast<int>(getpid() % 1'000) * 20;
+    static int next = 10'000 + static_cast<int>(getpid() % 500) * 40;
     for (;; ++next) {
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
--- a/tests/process/harness.hpp
+++ b/tests/process/harness.hpp
@@ -52,6 +52,10 @@
     Process(Process &&other) noexcept;
     Process &operator=(Process &&) = delete;
 
+    int pid() const
+    {
+        return m_pid;
+    }
     void signal(int number) const;
     /// Waits for the end; the exit code, or -1 when it ended by a signal or not within the time.
     int waitExit(Millis timeout);
