Read the platform's list of VMs only when it is needed, and the audit log by parts

Cause: the list has a line for every VM, 23 KB at 510 VMs. Each entry read it every second for the fleet manager and every 3 s for the membership: 31.5 KB/s of the 25 KB/s that all control may use. An audit query read the whole log. Ruled out: a longer interval alone; 3 s for both readers would still cost 15 KB/s beside 7.4 KB/s of heartbeats and about 8.5 KB/s of probes. Keeping the last list while it is not needed: its boot counts would be older than an earlier reboot. Change: the membership reads the list only while a member is not heard. The fleet manager reads it every 3 s, only while a VM that it owns restarts or is declared without a row, and drops it afterwards. readAudit takes the wall clock and goes back by parts of the log until it has enough entries; tests pass the clock, their checks are unchanged.

--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -2,6 +2,7 @@
 #include "audit/audit.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace hibiscusbridge
@@ -11,6 +12,10 @@
 
 /// Digits of a wall time in a key; enough for 300 years.
 constexpr std::size_t keyTimeDigits = 13;
+/// Keys that share this many digits are of the same 28 hours.
+constexpr std::size_t newestPrefixDigits = 5;
+/// Entries whose clock is ahead by less are found.
+constexpr Millis maxClockDifference{60'000};
 
 std::string encodeAudit(const AuditEntry &entry)
 {
@@ -84,15 +89,63 @@
     return entries;
 }
 
-void readAudit(const TablePort &table, std::string subject, std::size_t limit, AuditCallback callback)
+/// Key prefixes that together cover every time up to `now`, the newest first: the last 28 to 56 hours in two parts, then
+/// parts of growing length.
+static std::vector<std::string> prefixesNewestFirst(Millis now)
 {
-    table.read({.prefix = std::string(auditPrefix)}, [subject = std::move(subject), limit, callback](absl::StatusOr<ReadResult> result) {
+    auto digits = std::to_string(std::max(now + maxClockDifference, Millis{0}).count);
+    digits.insert(0, keyTimeDigits - std::min(keyTimeDigits, digits.size()), '0');
+    std::vector<std::string> prefixes{std::string(auditPrefix) + digits.substr(0, newestPrefixDigits)};
+    for (auto length = newestPrefixDigits; length > 0; --length) {
+        const auto start = std::string(auditPrefix) + digits.substr(0, length - 1);
+        for (char digit = digits[length - 1]; digit > '0'; --digit) {
+            prefixes.push_back(start + static_cast<char>(digit - 1));
+        }
+    }
+    return prefixes;
+}
+
+namespace
+{
+
+/// One read of the audit log, part by part until enough entries are found.
+struct AuditRead {
+    TablePort table;
+    std::string subject;
+    std::size_t limit = 0;
+    AuditCallback callback;
+    std::vector<std::string> prefixes;
+    std::size_t next = 0;
+    std::vector<AuditEntry> entries;
+};
+
+} // namespace
+
+static void readNextPart(const std::shared_ptr<AuditRead> &audit)
+{
+    if (audit->entries.size() >= audit->limit || audit->next == audit->prefixes.size()) {
+        audit->callback(std::move(audit->entries));
+        return;
+    }
+    audit->table.read({.prefix = audit->prefixes[audit->next++]}, [audit](absl::StatusOr<ReadResult> result) {
         if (!result.ok()) {
-            callback(result.status());
+            audit->callback(result.status());
             return;
         }
-        callback(selectAudit(result->rows, subject, limit));
+        auto part = selectAudit(result->rows, audit->subject, audit->limit - audit->entries.size());
+        std::ranges::move(audit->entries, std::back_inserter(part));
+        audit->entries = std::move(part);
+        readNextPart(audit);
     });
 }
 
+void readAudit(const TablePort &table, std::string subject, std::size_t limit, Millis now, AuditCallback callback)
+{
+    readNextPart(std::make_shared<AuditRead>(AuditRead{.table = table,
+                                                       .subject = std::move(subject),
+                                                       .limit = limit,
+                                                       .callback = std::move(callback),
+                                                       .prefixes = prefixesNewestFirst(now)}));
+}
+
 } // namespace hibiscusbridge
--- a/src/audit/audit.hpp
+++ b/src/audit/audit.hpp
@@ -49,7 +49,8 @@
 
 using AuditCallback = std::function<void(absl::StatusOr<std::vector<AuditEntry>>)>;
 
-/// Reads the newest `limit` entries about `subject`, newest last. Fails as reads of the table do.
-void readAudit(const TablePort &table, std::string subject, std::size_t limit, AuditCallback callback);
+/// Reads the newest `limit` entries about `subject`, newest last. `now` is the wall clock. Goes back in time by parts, so
+/// that recent entries do not need the whole log. Fails as reads of the table do.
+void readAudit(const TablePort &table, std::string subject, std::size_t limit, Millis now, AuditCallback callback);
 
 } // namespace hibiscusbridge
--- a/src/entry/reports.cpp
+++ b/src/entry/reports.cpp
@@ -133,6 +133,7 @@
     readAudit(components.platform.table(),
               queryValue(request.query, "subject"),
               std::min(limit, maxAuditLimit),
+              components.clock.wall(),
               [respond = std::move(respond)](const absl::StatusOr<std::vector<AuditEntry>> &entries) {
                   respond(entries.ok() ? jsonResponse({{"entries", auditJson(*entries)}}) : errorResponse(entries.status()));
               });
@@ -145,6 +146,7 @@
     readAudit(components.platform.table(),
               subject,
               explanationAuditLimit,
+              components.clock.wall(),
               [answer = std::move(answer), respond = std::move(respond)](const absl::StatusOr<std::vector<AuditEntry>> &entries) mutable {
                   answer["entries"] = entries.ok() ? auditJson(*entries) : json::array();
                   if (!entries.ok()) {
--- a/src/fleet/manager.cpp
+++ b/src/fleet/manager.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr Millis tickInterval{1'000};
+/// The list has a line for every VM; read each second by every entry it alone exceeded the budget for control traffic.
+constexpr Millis listInterval{3'000};
 /// An older view may show a VM as out of service that has returned; shorter than `settleTime`.
 constexpr Millis maxViewAge{3'000};
 constexpr Millis perhapsDoneTime{10'000};
@@ -42,14 +44,51 @@
     return it == m_reasons.end() ? std::string() : it->second;
 }
 
-void FleetManager::tick()
+/// Whether the next step of an operation on the VM depends on the platform's list.
+static bool needsList(const VmRow &vm)
+{
+    const bool restarts = vm.operation && (vm.operation->kind == OperationKind::Reboot || vm.operation->kind == OperationKind::Repair);
+    return restarts && (vm.state == VmState::Drained || vm.state == VmState::Rebooting || vm.state == VmState::Verifying);
+}
+
+bool FleetManager::needsPlatformList() const
+{
+    const auto &view = m_ports.view();
+    const bool restarts = std::ranges::any_of(view.vms, [&](const auto &it) { return needsList(it.second) && owns("vm/" + it.first); });
+    return restarts || std::ranges::any_of(view.document.vms, [&](const auto &it) {
+               return !view.vms.contains(it.first) && owns("vm/" + it.first);
+           });
+}
+
+void FleetManager::updatePlatformList()
 {
+    if (!needsPlatformList()) {
+        // An old list would show a boot count from before an earlier reboot.
+        m_platform.clear();
+        m_listedAt.reset();
+        return;
+    }
+    const auto now = m_ports.clock.boot();
+    if (m_listedAt && now - *m_listedAt < listInterval) {
+        return;
+    }
+    m_listedAt = now;
     m_ports.vms.list([this, alive = std::weak_ptr(m_alive)](absl::StatusOr<std::vector<PlatformVm>> list) {
-        if (alive.expired() || !list.ok()) {
+        if (alive.expired() || !m_listedAt) {
             return;
         }
-        m_platform = std::move(*list);
+        if (list.ok()) {
+            m_platform = std::move(*list);
+        } else {
+            m_listedAt = Millis{};
+        }
     });
+}
+
+void FleetManager::tick()
+{
+    m_members = m_ports.liveMembers();
+    updatePlatformList();
     act();
 }
 
@@ -58,7 +97,6 @@
     if (m_ports.viewAge() > maxViewAge) {
         return;
     }
-    m_members = m_ports.liveMembers();
     m_reasons.clear();
     const auto health = m_ports.health();
     const FleetInput input{.view = m_ports.view(), .health = health, .platform = m_platform, .actor = m_id, .now = m_ports.clock.wall()};
--- a/src/fleet/manager.hpp
+++ b/src/fleet/manager.hpp
@@ -6,6 +6,7 @@
 #include "ports/timer.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace hibiscusbridge
 {
@@ -46,6 +47,9 @@
     };
 
     void tick();
+    void updatePlatformList();
+    /// True when this entry owns a VM whose next step depends on the platform's list.
+    bool needsPlatformList() const;
     void act();
     void stepVms(const FleetInput &input);
     void reconcileVm(const FleetInput &input, const VmRow &vm);
@@ -60,7 +64,10 @@
 
     std::string m_id;
     FleetPorts m_ports;
+    /// Empty while no owned VM needs it.
     std::vector<PlatformVm> m_platform;
+    /// Boot clock of the last request for the list.
+    std::optional<Millis> m_listedAt;
     std::vector<std::string> m_members;
     std::map<std::string, Pending, std::less<>> m_pending;
     std::map<std::string, Millis, std::less<>> m_rebootSentAt;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -203,6 +203,16 @@
 
 void Membership::listVms(Check check)
 {
+    const auto &members = m_views.view().members.members;
+    const auto now = m_ports.clock.boot();
+    const bool allHeard = std::ranges::all_of(members, [&](const auto &it) { return it.id == m_self.id || hears(m_peers, it, now); });
+    if (allHeard) {
+        // The list matters only for members that are not heard, and has a line for every VM of the fleet.
+        std::vector<PlatformVm> assumed;
+        std::ranges::transform(members, std::back_inserter(assumed), [](const auto &it) { return PlatformVm{.id = it.id}; });
+        decide(check, assumed);
+        return;
+    }
     m_ports.vms.list(guarded([this, check = std::move(check)](const absl::StatusOr<std::vector<PlatformVm>> &vms) {
         if (!vms.ok() || m_outstanding != check.number) {
             endCheck(check.number);
--- a/tests/unit/document_change_test.cpp
+++ b/tests/unit/document_change_test.cpp
@@ -129,7 +129,7 @@
     }
     table.put("audit/0000000000011-x", "{malformed");
     std::vector<AuditEntry> entries;
-    readAudit(table.port(), "vm/a", 2, [&entries](const auto &result) { entries = *result; });
+    readAudit(table.port(), "vm/a", 2, {2'000}, [&entries](const auto &result) { entries = *result; });
     loop.advance({100});
     REQUIRE(entries.size() == 2);
     CHECK(entries[0].id == "e10");
@@ -138,11 +138,45 @@
     CHECK(auditKey(entries[1]) == "audit/0000000001000-e1000");
     absl::Status status;
     table.always = TableFault::ErrorBefore;
-    readAudit(table.port(), "vm/a", 2, [&status](const auto &result) { status = result.status(); });
+    readAudit(table.port(), "vm/a", 2, {2'000}, [&status](const auto &result) { status = result.status(); });
     loop.advance({100});
     CHECK(absl::IsUnavailable(status));
 }
 
+TEST_CASE("recent audit entries come without reading the whole log, and older ones are still found", "[audit]")
+{
+    FakeLoop loop;
+    FakeTable table(loop);
+    const Millis now{1'796'365'345'000};
+    const Millis day{86'400'000};
+    // The last one is of an entry whose clock is ahead.
+    const std::vector<Millis> times{{7}, now - day * 4'000, now - day * 40, now - day * 2, now - day, now, now + Millis{59'000}};
+    for (const auto at : times) {
+        Transaction transaction;
+        addAudit(transaction, {.id = std::to_string(at.count), .at = at, .subject = "vm/a"});
+        table.port().commit(transaction, [](const auto &) {});
+    }
+    auto port = table.port();
+    std::size_t rowsRead = 0;
+    port.read = [&, read = port.read](const ReadRequest &request, const TablePort::ReadCallback &callback) {
+        read(request, [&rowsRead, callback](const absl::StatusOr<ReadResult> &result) {
+            rowsRead += result.ok() ? result->rows.size() : 0;
+            callback(result);
+        });
+    };
+    for (std::size_t limit = 1; limit <= times.size() + 1; ++limit) {
+        std::vector<AuditEntry> entries;
+        rowsRead = 0;
+        readAudit(port, "vm/a", limit, now, [&entries](const auto &result) { entries = *result; });
+        loop.advance({10'000});
+        REQUIRE(entries.size() == std::min(limit, times.size()));
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            CHECK(entries[i].at == times[times.size() - entries.size() + i]);
+        }
+        CHECK((limit > 2 || rowsRead <= 3));
+    }
+}
+
 TEST_CASE("an audit entry with text that is not UTF-8 is still stored", "[audit]")
 {
     const auto entry = parseAudit(encodeAudit({.id = "a", .reason = "bad \xff byte"}));
