Share process figures between the benchmarks

Change: processstats.hpp for figures of processes, leastsquares.hpp for the fit; main reports exceptions.

--- a/bench/controlcost.cpp
+++ b/bench/controlcost.cpp
@@ -4,14 +4,15 @@
 // Each fleet runs as processes on loopback, three fleets at a time: the entries, the platform stand-in, and one target
 // stand-in that listens on an address of its own for every VM, so that probes are answered as in a healthy fleet.
 // State changes of VMs and of the member list are rows rewritten through the table service.
+#include "leastsquares.hpp"
+#include "processstats.hpp"
+
 #include "process/harness.hpp"
 
 #include <array>
 #include <cmath>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -58,44 +59,6 @@
     return static_cast<double>(systemClock().boot().count) / 1000.0;
 }
 
-double cpuSeconds(int pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i) {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double residentMegabytes(int pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-    double total = 0;
-    double resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
-/// Sum of the samples whose name and labels start with the prefix.
-double metric(const std::string &text, const std::string &prefix)
-{
-    double sum = 0;
-    std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with("hibiscusbridge_" + prefix)) {
-            sum += std::stod(line.substr(line.rfind(' ')));
-        }
-    }
-    return sum;
-}
-
 Figures countersOf(const EntryProcess &entry)
 {
     const auto text = exchange("GET", "http://" + entry.operators + "/metrics").body;
@@ -287,34 +250,6 @@
     return out;
 }
 
-/// Least-squares solution of rows * x = values by the normal equations.
-std::vector<double> fit(const std::vector<std::vector<double>> &rows, const std::vector<double> &values)
-{
-    const auto n = rows.front().size();
-    std::vector<std::vector<double>> a(n, std::vector<double>(n + 1));
-    for (std::size_t r = 0; r < rows.size(); ++r) {
-        for (std::size_t i = 0; i < n; ++i) {
-            for (std::size_t j = 0; j < n; ++j) {
-                a[i][j] += rows[r][i] * rows[r][j];
-            }
-            a[i][n] += rows[r][i] * values[r];
-        }
-    }
-    for (std::size_t i = 0; i < n; ++i) {
-        for (std::size_t k = 0; k < n; ++k) {
-            const auto factor = k == i ? 0.0 : a[k][i] / a[i][i];
-            for (std::size_t j = i; j <= n && k != i; ++j) {
-                a[k][j] -= factor * a[i][j];
-            }
-        }
-    }
-    std::vector<double> x;
-    for (std::size_t i = 0; i < n; ++i) {
-        x.push_back(a[i][n] / a[i][i]);
-    }
-    return x;
-}
-
 void printSlopes(const std::vector<Result> &results)
 {
     std::printf(
@@ -402,9 +337,7 @@
     return sizes;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int measureAll(int argc, char **argv)
 {
     const auto seconds = argc > 1 ? std::stod(argv[1]) : 6.0;
     const auto sizes = readSizes(argc, argv);
@@ -435,3 +368,15 @@
     }
     return results.size() == sizes.size() ? 0 : 1;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return measureAll(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -1,5 +1,7 @@
 // Compares requests through an entry with direct calls of the target: latency, and requests per second of processor
 // time of the entry. Usage: path [REQUESTS]
+#include "processstats.hpp"
+
 #include "process/harness.hpp"
 
 #include "adapters/httpclient.hpp"
@@ -7,8 +9,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <unistd.h>
 
 using namespace hibiscusbridge;
@@ -18,22 +18,6 @@
 
 constexpr std::size_t atOnce = 8;
 
-double cpuSeconds(int pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i) {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 struct Measured {
     double p50 = 0;
     double p99 = 0;
