--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -35,7 +35,8 @@
 
 void Membership::start()
 {
-    sendHeartbeats();
+    m_views.onChange(guarded([this] { confirmMembers(); }));
+    repeatHeartbeats();
     renewRegistration();
     checkMembers();
 }
@@ -75,7 +76,22 @@
     for (const auto &it : addresses) {
         m_ports.peers.send(it, heartbeat);
     }
-    after(heartbeatInterval, [this] { sendHeartbeats(); });
+}
+
+void Membership::repeatHeartbeats()
+{
+    sendHeartbeats();
+    after(heartbeatInterval, [this] { repeatHeartbeats(); });
+}
+
+void Membership::confirmMembers()
+{
+    // The next member change waits for this confirmation. Other changes wait for the next regular heartbeat: the version
+    // of the view grows with every commit of the table.
+    if (const auto version = m_views.view().members.version; version != m_confirmedMembers) {
+        m_confirmedMembers = version;
+        sendHeartbeats();
+    }
 }
 
 bool Membership::receive(const wire::Envelope &envelope)
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -19,8 +19,8 @@
 /// Between attempts to read the registration back after a lost reply.
 inline constexpr Millis readBackInterval{500};
 inline constexpr Millis memberCheckInterval{3'000};
-/// While this entry waits to join or to leave.
-inline constexpr Millis memberCheckIntervalPending{1'000};
+/// While this entry waits to join or to leave. Members change one at a time, so each waits for all before it.
+inline constexpr Millis memberCheckIntervalPending{250};
 /// A check whose calls have not returned by then is abandoned.
 inline constexpr Millis memberCheckDeadline{10'000};
 
@@ -66,6 +66,8 @@
     };
 
     void sendHeartbeats();
+    void repeatHeartbeats();
+    void confirmMembers();
     void renewRegistration();
     void takeRenewal(const absl::StatusOr<std::uint64_t> &result);
     void readRegistration();
@@ -95,6 +97,8 @@
     bool m_isSuperseded = false;
     bool m_isLeaving = false;
     std::uint64_t m_checks = 0;
+    /// Version of the member list that the last heartbeats confirmed.
+    std::uint64_t m_confirmedMembers = 0;
     /// Number of the check in progress, 0 for none.
     std::uint64_t m_outstanding = 0;
     std::function<void()> m_left;
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -76,6 +76,7 @@
         if (!getenv("HIBISCUSBRIDGE_TEST_LOGS")) {
             dup2(open("/dev/null", O_WRONLY | O_CLOEXEC), STDERR_FILENO);
         }
+        close_range(3, ~0U, CLOSE_RANGE_CLOEXEC); // Connections of the test must not stay open in the child.
         execve(argv[0], argv.data(), envp.data());
         _exit(127);
     }
