Hold the member list when draining, audit with figures, bring VMs back

Cause: the step to draining did not check view/members; audit entries of VM changes had another form than the audit reader expects; a finished drain could not be taken back; changed declarations and leaving VMs were ignored. Change: precondition on view/members; AuditEntry with figures; undo of a finished drain; updates of zone, rack, slots and connections, and of the address through a drain; drains of VMs that the platform lists as leaving. The audit key in the unit test has 13 digits of time as in src/audit, the check is the same. Ruled out: undoing while draining, an existing test forbids it. Figures: with the precondition removed, "draining is conditional on the member list" fails.

--- a/src/fleet/changes.cpp
+++ b/src/fleet/changes.cpp
@@ -2,11 +2,8 @@
 #include "fleet/changes.hpp"
 
 #include "fleet/budget.hpp"
-#include "helpers/ids.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
-#include <spdlog/fmt/fmt.h>
 
 namespace hibiscusbridge
 {
@@ -72,10 +69,9 @@
     }
 }
 
-void ChangeSet::audit(std::string_view vm, std::string_view event, std::string_view actor, std::string_view reason, Millis now)
+void ChangeSet::audit(const AuditEntry &entry)
 {
-    const nlohmann::json entry{{"vm", vm}, {"event", event}, {"actor", actor}, {"reason", reason}, {"atMs", now.count}};
-    m_transaction.writes.push_back({fmt::format("audit/{:015}-{}", now.count, randomId()), entry.dump()});
+    addAudit(m_transaction, entry);
 }
 
 Transaction ChangeSet::transaction() const
--- a/src/fleet/changes.hpp
+++ b/src/fleet/changes.hpp
@@ -1,6 +1,7 @@
 // Builds the transaction of a change to VMs: rows, ledgers of the affected pools, audit entry and preconditions.
 #pragma once
 
+#include "audit/audit.hpp"
 #include "model/view.hpp"
 
 #include <optional>
@@ -24,7 +25,7 @@
     void claimSparePools();
     void requireDocument();
     void requireRow(std::string_view prefix, std::string_view name, std::uint64_t version);
-    void audit(std::string_view vm, std::string_view event, std::string_view actor, std::string_view reason, Millis now);
+    void audit(const AuditEntry &entry);
 
     Transaction transaction() const;
 
--- a/src/fleet/manager.cpp
+++ b/src/fleet/manager.cpp
@@ -1,6 +1,7 @@
 // Carries out the operations that this entry owns.
 #include "fleet/manager.hpp"
 
+#include "fleet/auditentries.hpp"
 #include "fleet/changes.hpp"
 #include "helpers/ids.hpp"
 #include "helpers/log.hpp"
@@ -180,8 +181,16 @@
 void FleetManager::reconcileVm(const FleetInput &input, const VmRow &vm)
 {
     Operation operation;
-    if (!input.view.document.vms.contains(vm.id)) {
+    const auto declared = input.view.document.vms.find(vm.id);
+    const auto line = std::ranges::find(input.platform, vm.id, &PlatformVm::id);
+    if (declared == input.view.document.vms.end()) {
         operation = {.kind = OperationKind::Drain, .reason = std::string(undeclaredReason)};
+    } else if (line != input.platform.end() && line->state == PlatformVmState::Leaving) {
+        operation = {.kind = OperationKind::Drain, .reason = std::string(leavingReason)};
+    } else if (auto update = updateProperties(input, vm.id)) {
+        return commit("vm/" + vm.id, std::move(*update));
+    } else if (declared->second.address != vm.address) {
+        operation = {.kind = OperationKind::Drain, .reason = std::string(addressReason)};
     } else if (auto pool = wantedPool(input, vm); !pool.empty()) {
         operation = {.kind = OperationKind::Move, .destinationPool = pool, .reason = fmt::format("declared in pool {}", pool)};
     } else {
@@ -268,7 +277,7 @@
     after.state = WaveState::Finished;
     ChangeSet changes(input.view);
     changes.requireRow(wavePrefix, wave.id, wave.version);
-    changes.audit(wave.id, "wave-finished", input.actor, wave.reason, input.now);
+    changes.audit(waveEntry(input, "wave.finish", wave, after));
     auto transaction = changes.transaction();
     transaction.writes.push_back({std::string(wavePrefix) + wave.id, encodeWave(after)});
     commit("wave/" + wave.id, std::move(transaction));
--- a/src/fleet/start.cpp
+++ b/src/fleet/start.cpp
@@ -1,9 +1,11 @@
 // Starting and undoing operations on VMs.
+#include "fleet/auditentries.hpp"
 #include "fleet/changes.hpp"
 #include "fleet/step.hpp"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
+#include <tuple>
 
 namespace hibiscusbridge
 {
@@ -38,14 +40,18 @@
         return absl::FailedPreconditionError(decision.reason);
     }
     ChangeSet changes(input.view);
+    const auto count = countFleet(input.view, input.health);
     for (const auto &[id, operation] : starts) {
         const auto &vm = input.view.vms.at(id);
-        changes.changeVm(id, announced(input, vm, operation));
+        const auto after = announced(input, vm, operation);
+        changes.changeVm(id, after);
         if (!operation.destinationPool.empty()) {
             changes.claimPool(operation.destinationPool);
         }
         requireWave(changes, input.view, operation.wave);
-        changes.audit(id, fmt::format("{}-started", toString(operation.kind)), input.actor, operation.reason, input.now);
+        auto entry = vmEntry(input, fmt::format("vm.{}.start", toString(operation.kind)), &vm, &after, operation.reason);
+        entry.figures = poolFigures(count, vm.pool);
+        changes.audit(entry);
     }
     changes.requireDocument();
     if (decision.usesSpares) {
@@ -60,7 +66,8 @@
     if (it == input.view.vms.end() || input.health.failed.contains(spare)) {
         return absl::FailedPreconditionError(fmt::format("spare {} is not healthy", spare));
     }
-    const auto decision = decideSpareMove(countFleet(input.view, input.health), it->second);
+    const auto count = countFleet(input.view, input.health);
+    const auto decision = decideSpareMove(count, it->second);
     if (!decision.allowed) {
         return absl::FailedPreconditionError(decision.reason);
     }
@@ -69,7 +76,8 @@
                               .wave = std::string(wave),
                               .reason = fmt::format("spare for pool {}", pool)};
     ChangeSet changes(input.view);
-    changes.changeVm(spare, announced(input, it->second, operation));
+    const auto after = announced(input, it->second, operation);
+    changes.changeVm(spare, after);
     // The claim on the pool keeps two entries from replacing the same failed VM twice.
     changes.claimPool(pool);
     changes.claimSparePools();
@@ -80,23 +88,9 @@
             changes.requireRow(vmPrefix, id, vm.version);
         }
     }
-    changes.audit(spare, "move-started", input.actor, operation.reason, input.now);
-    return changes.transaction();
-}
-
-absl::StatusOr<Transaction> undoOperation(const FleetInput &input, std::string_view vm, std::string_view reason)
-{
-    const auto it = input.view.vms.find(vm);
-    if (it == input.view.vms.end() || it->second.state != VmState::Announced) {
-        return absl::FailedPreconditionError(fmt::format("VM {} is not announced; the operation can no longer be taken back", vm));
-    }
-    auto after = it->second;
-    after.state = VmState::Active;
-    after.since = input.now;
-    after.operation.reset();
-    ChangeSet changes(input.view);
-    changes.changeVm(vm, after);
-    changes.audit(vm, "undone", input.actor, reason, input.now);
+    auto entry = vmEntry(input, "vm.move.start", &it->second, &after, operation.reason);
+    entry.figures = poolFigures(count, it->second.pool);
+    changes.audit(entry);
     return changes.transaction();
 }
 
@@ -108,19 +102,55 @@
     if (it == input.view.document.vms.end() || input.view.vms.contains(vm) || !live) {
         return absl::FailedPreconditionError(fmt::format("VM {} is not both declared and live, or has a row already", vm));
     }
-    const auto &declared = it->second;
-    const VmRow row{.id = declared.id,
-                    .pool = declared.pool,
-                    .address = declared.address,
-                    .zone = declared.zone,
-                    .rack = declared.rack,
-                    .slots = declared.slots,
-                    .connections = declared.connections,
-                    .since = input.now};
+    const auto row = withDeclared(input.view, {.id = std::string(vm), .pool = it->second.pool, .since = input.now});
     ChangeSet changes(input.view);
     changes.changeVm(vm, row);
     changes.requireDocument();
-    changes.audit(vm, "added", input.actor, "declared", input.now);
+    changes.audit(vmEntry(input, "vm.add", nullptr, &row, "declared"));
+    return changes.transaction();
+}
+
+VmRow withDeclared(const View &view, VmRow vm)
+{
+    if (const auto it = view.document.vms.find(vm.id); it != view.document.vms.end()) {
+        vm.address = it->second.address;
+        vm.zone = it->second.zone;
+        vm.rack = it->second.rack;
+        vm.slots = it->second.slots;
+        vm.connections = it->second.connections;
+    }
+    return vm;
+}
+
+static std::string propertiesText(const VmRow &vm)
+{
+    return fmt::format("zone {}, rack {}, {} slots, {} connections", vm.zone, vm.rack, vm.slots, vm.connections);
+}
+
+std::optional<Transaction> updateProperties(const FleetInput &input, std::string_view vm)
+{
+    const auto it = input.view.vms.find(vm);
+    if (it == input.view.vms.end()) {
+        return std::nullopt;
+    }
+    const auto &before = it->second;
+    auto after = withDeclared(input.view, before);
+    after.address = before.address;
+    const auto properties = [](const VmRow &row) {
+        return std::tie(row.zone, row.rack, row.slots, row.connections);
+    };
+    if (properties(before) == properties(after)) {
+        return std::nullopt;
+    }
+    ChangeSet changes(input.view);
+    changes.changeVm(vm, after);
+    // Decisions about the pool count its VMs by rack and zone.
+    changes.claimPool(before.pool);
+    changes.requireDocument();
+    auto entry = vmEntry(input, "vm.update", &before, &after, "declared properties changed");
+    entry.before = propertiesText(before);
+    entry.after = propertiesText(after);
+    changes.audit(entry);
     return changes.transaction();
 }
 
--- a/src/fleet/step.cpp
+++ b/src/fleet/step.cpp
@@ -1,6 +1,7 @@
 // Operations on VMs, one step at a time.
 #include "fleet/step.hpp"
 
+#include "fleet/auditentries.hpp"
 #include "fleet/changes.hpp"
 
 #include <algorithm>
@@ -39,10 +40,10 @@
     return after;
 }
 
-/// Ends the operation: the VM is active in `pool`.
-static Step activate(const FleetInput &input, const VmRow &vm, std::string_view pool, std::string_view event)
+/// Ends the operation of a VM without requests in flight: it is active in `pool`.
+static Step activate(const FleetInput &input, const VmRow &vm, std::string_view pool, std::string_view action, std::string reason = {})
 {
-    auto after = inState(input, vm, VmState::Active);
+    auto after = inState(input, withDeclared(input.view, vm), VmState::Active);
     const auto declared = input.view.document.vms.find(vm.id);
     const auto home = vm.declaredPool.empty() ? vm.pool : vm.declaredPool;
     const bool declaredHere = declared != input.view.document.vms.end() && declared->second.pool == pool;
@@ -55,9 +56,11 @@
     ChangeSet changes(input.view);
     changes.changeVm(vm.id, after);
     changes.requireDocument();
-    const auto reason = fmt::format("{} finished in pool {}", vm.operation ? toString(vm.operation->kind) : "operation", pool);
-    changes.audit(vm.id, event, input.actor, reason, input.now);
-    return commitStep(changes, reason);
+    if (reason.empty()) {
+        reason = fmt::format("{} finished in pool {}", vm.operation ? toString(vm.operation->kind) : "operation", pool);
+    }
+    changes.audit(vmEntry(input, action, &vm, &after, reason));
+    return commitStep(changes, std::move(reason));
 }
 
 static Step fail(const FleetInput &input, const VmRow &vm, const std::string &reason)
@@ -67,7 +70,7 @@
     after.operation.reset();
     ChangeSet changes(input.view);
     changes.changeVm(vm.id, after);
-    changes.audit(vm.id, "failed", input.actor, reason, input.now);
+    changes.audit(vmEntry(input, "vm.fail", &vm, &after, reason));
     return commitStep(changes, reason);
 }
 
@@ -76,7 +79,7 @@
     ChangeSet changes(input.view);
     changes.changeVm(vm.id, std::nullopt);
     changes.requireDocument();
-    changes.audit(vm.id, "removed", input.actor, undeclaredReason, input.now);
+    changes.audit(vmEntry(input, "vm.remove", &vm, nullptr, undeclaredReason));
     return commitStep(changes, std::string(undeclaredReason));
 }
 
@@ -87,6 +90,16 @@
     return commitStep(changes, std::move(reason));
 }
 
+/// No request is in flight to the VM, so its row can take over a changed address.
+static Step enterDrained(const FleetInput &input, const VmRow &vm)
+{
+    const auto after = inState(input, withDeclared(input.view, vm), VmState::Drained);
+    ChangeSet changes(input.view);
+    changes.changeVm(vm.id, after);
+    changes.requireDocument();
+    return commitStep(changes, "no request in flight");
+}
+
 /// Pool that a repaired VM returns to: the spares when its own pool is complete without it.
 static std::string poolAfterRepair(const FleetInput &input, const VmRow &vm)
 {
@@ -118,7 +131,7 @@
                                     .reason = fmt::format("failure {}", vm.failures)};
         ChangeSet changes(input.view);
         changes.changeVm(vm.id, after);
-        changes.audit(vm.id, "repair-started", input.actor, after.operation->reason, input.now);
+        changes.audit(vmEntry(input, "vm.repair.start", &vm, &after, after.operation->reason));
         return commitStep(changes, after.operation->reason);
     }
     if (!confirmations.drain) {
@@ -130,7 +143,7 @@
     if (const auto due = vm.since + backOffTime(vm.failures); input.now < due) {
         return waitFor(fmt::format("restart after failure {} in {} s", vm.failures, (due - input.now).count / 1000));
     }
-    return enter(input, inState(input, vm, VmState::Drained), "no request in flight");
+    return enterDrained(input, vm);
 }
 
 static Step stepAnnounced(const FleetInput &input, const VmRow &vm, const Confirmations &confirmations)
@@ -145,7 +158,11 @@
     if (!confirmations.announcement) {
         return waitFor(fmt::format("announcement waits for a majority: {}", confirmations.waitingFor));
     }
-    return enter(input, inState(input, vm, VmState::Draining), "announcement confirmed by a majority");
+    ChangeSet changes(input.view);
+    changes.changeVm(vm.id, inState(input, vm, VmState::Draining));
+    // The majority has to be one of the list in force at the commit.
+    changes.requireRow(membersKey, {}, input.view.members.version);
+    return commitStep(changes, "announcement confirmed by a majority");
 }
 
 static Step startReboot(const FleetInput &input, const VmRow &vm)
@@ -169,14 +186,21 @@
         return startReboot(input, vm);
     case OperationKind::Move: {
         const bool exists = input.view.document.pools.contains(operation.destinationPool);
-        return activate(input, vm, exists ? operation.destinationPool : vm.pool, "moved");
+        return activate(input, vm, exists ? operation.destinationPool : vm.pool, "vm.move.finish");
     }
     case OperationKind::Drain:
         if (!declared) {
             return removeRow(input, vm);
         }
         if (operation.reason == undeclaredReason) {
-            return activate(input, vm, vm.pool, "declared-again");
+            return activate(input, vm, vm.pool, "vm.drain.finish", "declared again");
+        }
+        if (operation.reason == addressReason) {
+            return activate(input, vm, vm.pool, "vm.drain.finish");
+        }
+        if (operation.reason == leavingReason) {
+            return isLive(input, vm.id) ? activate(input, vm, vm.pool, "vm.drain.finish", "the platform lists the VM as live again")
+                                        : waitFor("drained until the platform lists the VM as live again");
         }
         return waitFor("drained; stays out until an operator returns it");
     }
@@ -200,7 +224,7 @@
     const auto age = input.now - vm.since;
     if (isLive(input, vm.id) && age >= settleTime) {
         const bool repair = vm.operation->kind == OperationKind::Repair;
-        return activate(input, vm, repair ? poolAfterRepair(input, vm) : vm.pool, repair ? "repaired" : "rebooted");
+        return activate(input, vm, repair ? poolAfterRepair(input, vm) : vm.pool, repair ? "vm.repair.finish" : "vm.reboot.finish");
     }
     if (age > verifyTimeout) {
         return fail(input, vm, fmt::format("not healthy {} s after the reboot", verifyTimeout.count / 1000));
@@ -208,6 +232,31 @@
     return waitFor(age < settleTime ? "verification still runs" : "the VM is not live and healthy yet");
 }
 
+absl::StatusOr<Transaction> undoOperation(const FleetInput &input, std::string_view vm, std::string_view reason)
+{
+    const auto it = input.view.vms.find(vm);
+    if (it == input.view.vms.end()) {
+        return absl::FailedPreconditionError(fmt::format("VM {} has no row", vm));
+    }
+    const auto &before = it->second;
+    if (before.state == VmState::Drained && before.operation && before.operation->kind == OperationKind::Drain) {
+        if (!input.view.document.vms.contains(vm) || input.health.failed.contains(vm)) {
+            return absl::FailedPreconditionError(fmt::format("VM {} is no longer declared, or is reported as failed", vm));
+        }
+        return activate(input, before, before.pool, "vm.undo", std::string(reason)).transaction;
+    }
+    if (before.state != VmState::Announced) {
+        return absl::FailedPreconditionError(
+            fmt::format("VM {} is {}; only an announced operation or a finished drain can be taken back", vm, toString(before.state)));
+    }
+    auto after = inState(input, before, VmState::Active);
+    after.operation.reset();
+    ChangeSet changes(input.view);
+    changes.changeVm(vm, after);
+    changes.audit(vmEntry(input, "vm.undo", &before, &after, reason));
+    return changes.transaction();
+}
+
 Millis backOffTime(std::uint32_t failures)
 {
     // The first failure is restarted at once.
@@ -242,8 +291,7 @@
     case VmState::Announced:
         return stepAnnounced(input, vm, confirmations);
     case VmState::Draining:
-        return confirmations.drain ? enter(input, inState(input, vm, VmState::Drained), "no request in flight")
-                                   : waitFor(fmt::format("drain waits: {}", confirmations.waitingFor));
+        return confirmations.drain ? enterDrained(input, vm) : waitFor(fmt::format("drain waits: {}", confirmations.waitingFor));
     case VmState::Drained:
         return stepDrained(input, vm);
     case VmState::Rebooting:
--- a/src/fleet/step.hpp
+++ b/src/fleet/step.hpp
@@ -5,6 +5,7 @@
 #include "ports/vm.hpp"
 
 #include <absl/status/statusor.h>
+#include <optional>
 #include <span>
 
 namespace hibiscusbridge
@@ -51,6 +52,10 @@
 
 /// Reason of a drain that the document caused; the VM's row goes away when it is drained.
 inline constexpr std::string_view undeclaredReason = "no longer declared";
+/// Reason of a drain that ends when the platform lists the VM as live again.
+inline constexpr std::string_view leavingReason = "the platform lists the VM as leaving";
+/// Reason of a drain that ends at once; the row gets the declared address while no request is in flight.
+inline constexpr std::string_view addressReason = "declared address changed";
 /// A reboot sent before a process was suspended may arrive this much later; the VM must not be active by then.
 inline constexpr Millis settleTime{10'000};
 inline constexpr Millis rebootTimeout{600'000};
@@ -66,12 +71,20 @@
 /// Moves a spare to a pool; `refill` when the pool has a failed VM to replace.
 absl::StatusOr<Transaction> startSpareMove(const FleetInput &input, std::string_view spare, std::string_view pool, std::string_view wave);
 
-/// Takes back an announced operation. kFailedPrecondition in any other state.
+/// Takes back an announced operation or brings back a VM that a drain holds out. kFailedPrecondition in any other state,
+/// and for a drained VM that is not declared or is reported as failed.
 absl::StatusOr<Transaction> undoOperation(const FleetInput &input, std::string_view vm, std::string_view reason);
 
 /// Adds the row of a declared VM that the platform lists as live.
 absl::StatusOr<Transaction> addVm(const FleetInput &input, std::string_view vm);
 
+/// The row with the declared address, zone, rack, slots and connections.
+VmRow withDeclared(const View &view, VmRow vm);
+
+/// Updates zone, rack, slots and connections of a VM to those declared; nothing when they are equal. The address changes
+/// only while the VM is drained.
+std::optional<Transaction> updateProperties(const FleetInput &input, std::string_view vm);
+
 Step nextStep(const FleetInput &input, std::string_view vm, const Confirmations &confirmations);
 
 /// Time before a VM that failed `failures` times in a row is restarted.
--- a/tests/fakes/faketable.cpp
+++ b/tests/fakes/faketable.cpp
@@ -78,6 +78,9 @@
 ReadResult FakeTable::readRows(const ReadRequest &request, std::uint64_t upTo) const
 {
     ReadResult result{.version = upTo};
+    if (request.since >= upTo) {
+        return result;
+    }
     for (auto it = m_history.lower_bound(request.prefix); it != m_history.end() && it->first.starts_with(request.prefix); ++it) {
         const Row *latest = nullptr;
         for (const auto &row : it->second) {
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -1,4 +1,6 @@
 // Budgets, wave plans and single steps of VM operations.
+#include "audit/audit.hpp"
+#include "fakes/fakeloop.hpp"
 #include "fleet/manager.hpp"
 
 #include <catch2/catch.hpp>
@@ -49,6 +51,24 @@
     return std::ranges::any_of(transaction.preconditions, [&](const auto &it) { return it.key == key && it.version == version; });
 }
 
+std::optional<std::string> valueOf(const Transaction &transaction, const std::string &key)
+{
+    const auto it = std::ranges::find(transaction.writes, key, &Write::key);
+    return it == transaction.writes.end() ? std::nullopt : it->value;
+}
+
+VmRow rowOf(const Transaction &transaction, const std::string &vm)
+{
+    const auto value = valueOf(transaction, "view/vm/" + vm);
+    return value ? parseVm(*value).value_or(VmRow{}) : VmRow{};
+}
+
+AuditEntry auditOf(const Transaction &transaction)
+{
+    const auto it = std::ranges::find_if(transaction.writes, [](const auto &write) { return write.key.starts_with(auditPrefix); });
+    return it == transaction.writes.end() ? AuditEntry{} : parseAudit(*it->value).value_or(AuditEntry{});
+}
+
 } // namespace
 
 // Guards against planned work that breaks a budget, and refusals that an operator cannot check.
@@ -108,7 +128,7 @@
     CHECK(hasPrecondition(*transaction, "view/pool/a", 9));
     CHECK(hasPrecondition(*transaction, "view/pool/s", 0));
     CHECK(hasPrecondition(*transaction, "view/docversion", 5));
-    CHECK(std::ranges::any_of(transaction->writes, [](const auto &it) { return it.key.starts_with("audit/000000000060000-"); }));
+    CHECK(std::ranges::any_of(transaction->writes, [](const auto &it) { return it.key.starts_with("audit/0000000060000-"); }));
 }
 
 // Guards against taking back an operation that entries already act on.
@@ -124,6 +144,118 @@
     CHECK(nextStep({view, health, {}, "e1", {}}, "a1", {.waitingFor = "e2"}).reason == "drain waits: e2");
 }
 
+// Guards against a majority of an outdated member list: an entry that joined meanwhile may not know the announcement.
+TEST_CASE("draining is conditional on the member list", "[fleet][step]")
+{
+    auto view = makeView(4, 3, 1, 1);
+    putOut(view, "a1", VmState::Announced);
+    view.members.version = 12;
+    const auto step = nextStep({view, {}, {}, "e1", {}}, "a1", {.announcement = true});
+    REQUIRE(step.kind == StepKind::Commit);
+    CHECK(hasPrecondition(step.transaction, "view/members", 12));
+    CHECK(hasPrecondition(step.transaction, "view/vm/a1", 7));
+}
+
+// Guards against changes that an operator cannot trace to who, when, why and the figures decided on.
+TEST_CASE("a start leaves an audit entry with its figures", "[fleet][audit]")
+{
+    const auto view = makeView(4, 3, 1, 1);
+    const OperationStart start{"a1", {.kind = OperationKind::Drain, .reason = "new disk"}};
+    const auto entry = auditOf(*startOperations({view, {}, {}, "ops", {60'000}}, std::span(&start, 1)));
+    CHECK(std::tie(entry.action, entry.subject, entry.actor, entry.reason) == std::tuple("vm.drain.start", "vm/a1", "ops", "new disk"));
+    CHECK(std::tie(entry.before, entry.after) == std::tuple("active in pool a", "announced in pool a"));
+    CHECK(entry.figures == std::map<std::string, double>{{"healthy", 4}, {"minHealthy", 3}, {"mayLose", 1}, {"planned", 0}});
+}
+
+// Guards against a VM that an operator drained and can never bring back, and against bringing back one that is gone.
+TEST_CASE("a finished drain can be taken back", "[fleet][step]")
+{
+    auto view = makeView(4, 3, 1, 1);
+    putOut(view, "a1", VmState::Drained);
+    CHECK_FALSE(undoOperation({view, {}, {}, "ops", {}}, "a1", "done").ok()); // Out for a reboot.
+    view.vms.at("a1").operation->kind = OperationKind::Drain;
+    const auto transaction = undoOperation({view, {}, {}, "ops", {}}, "a1", "done");
+    REQUIRE(transaction.ok());
+    const auto after = rowOf(*transaction, "a1");
+    CHECK(after.state == VmState::Active);
+    CHECK_FALSE(after.operation);
+    CHECK(hasPrecondition(*transaction, "view/vm/a1", 7));
+    CHECK(hasPrecondition(*transaction, "view/docversion", 5));
+    CHECK(parseLedger(*valueOf(*transaction, "view/pool/a"))->out.empty());
+    CHECK(auditOf(*transaction).action == "vm.undo");
+    CHECK_FALSE(undoOperation({view, {{"a1"}}, {}, "ops", {}}, "a1", "done").ok());
+    view.document.vms.erase("a1");
+    CHECK_FALSE(undoOperation({view, {}, {}, "ops", {}}, "a1", "done").ok());
+}
+
+// Guards against rows that keep outdated properties, and against a new address while requests use the old one.
+TEST_CASE("changed declarations reach the row, the address only after a drain", "[fleet][step]")
+{
+    auto view = makeView(4, 3, 1, 1);
+    auto &declared = view.document.vms.at("a1");
+    view.vms.at("a1") = withDeclared(view, view.vms.at("a1"));
+    CHECK_FALSE(updateProperties({view, {}, {}, "e1", {}}, "a1"));
+    declared.slots = 3;
+    declared.rack = "r9";
+    declared.address = "127.0.0.1:9";
+    const auto update = updateProperties({view, {}, {}, "e1", {}}, "a1");
+    REQUIRE(update);
+    CHECK(rowOf(*update, "a1").slots == 3);
+    CHECK(rowOf(*update, "a1").rack == "r9");
+    CHECK(rowOf(*update, "a1").address.empty());
+    CHECK(hasPrecondition(*update, "view/pool/a", 0));
+    putOut(view, "a1", VmState::Draining);
+    view.vms.at("a1").operation = Operation{.kind = OperationKind::Drain, .reason = std::string(addressReason)};
+    const auto drained = nextStep({view, {}, {}, "e1", {}}, "a1", {.drain = true});
+    CHECK(rowOf(drained.transaction, "a1").address == "127.0.0.1:9");
+    view.vms.at("a1").state = VmState::Drained;
+    CHECK(rowOf(nextStep({view, {}, {}, "e1", {}}, "a1", {}).transaction, "a1").state == VmState::Active);
+}
+
+// Guards against a VM that leaves with requests in flight, or that stays out after the platform has kept it.
+TEST_CASE("a leaving VM is drained until the platform lists it as live", "[fleet][step]")
+{
+    FakeLoop loop;
+    auto view = makeView(4, 3, 1, 1);
+    for (auto &[id, vm] : view.vms) {
+        vm = withDeclared(view, vm);
+    }
+    std::vector<PlatformVm> list{{.id = "a1", .state = PlatformVmState::Leaving}};
+    std::vector<Transaction> committed;
+    FleetPorts ports{.timers = loop.timers(), .clock = loop.clock()};
+    ports.table.commit = [&](Transaction transaction, const auto &) {
+        committed.push_back(std::move(transaction));
+    };
+    ports.vms.list = [&](const auto &callback) {
+        callback(list);
+    };
+    ports.view = [&]() -> const View & {
+        return view;
+    };
+    ports.viewAge = [] {
+        return Millis{};
+    };
+    ports.health = [] {
+        return FleetHealth{};
+    };
+    ports.confirmations = [](const VmRow &) {
+        return Confirmations{};
+    };
+    ports.liveMembers = [] {
+        return std::vector<std::string>{"e1"};
+    };
+    FleetManager manager("e1", ports);
+    manager.start();
+    loop.advance({1'500});
+    REQUIRE(committed.size() == 1);
+    CHECK(rowOf(committed[0], "a1").operation->reason == leavingReason);
+    putOut(view, "a1", VmState::Drained);
+    view.vms.at("a1").operation = rowOf(committed[0], "a1").operation;
+    CHECK(nextStep({view, {}, list, "e1", {}}, "a1", {}).kind == StepKind::Wait);
+    list[0].state = PlatformVmState::Live;
+    CHECK(rowOf(nextStep({view, {}, list, "e1", {}}, "a1", {}).transaction, "a1").state == VmState::Active);
+}
+
 // Guards against restarting a flapping VM over and over.
 TEST_CASE("restarts back off with each failure", "[fleet][step]")
 {
--- a/tests/unit/fleet_world.cpp
+++ b/tests/unit/fleet_world.cpp
@@ -38,8 +38,11 @@
             if (!result.ok() || result->version < view.version) {
                 return;
             }
+            const auto held = view.documentVersion;
             applyRows(view, result->version, result->rows);
-            view.document = world.documents[view.documentVersion];
+            if (view.documentVersion != held) {
+                view.document = world.documents[view.documentVersion];
+            }
             readAt = sentAt;
         });
     });
@@ -120,7 +123,9 @@
     declare(smallDocument());
     for (const auto &[id, vm] : smallDocument().vms) {
         platform[id] = {};
-        table.put(fmt::format("view/vm/{}", id), encodeVm({.id = id, .pool = vm.pool, .zone = vm.zone, .rack = vm.rack}));
+        table.put(
+            fmt::format("view/vm/{}", id),
+            encodeVm({.id = id, .pool = vm.pool, .zone = vm.zone, .rack = vm.rack, .slots = vm.slots, .connections = vm.connections}));
     }
     before = vms();
     table.onCommit = [this] {
