--- a/tests/unit/fleet_world.cpp
+++ b/tests/unit/fleet_world.cpp
@@ -38,8 +38,11 @@
             if (!result.ok() || result->version < view.version) {
                 return;
             }
+            const auto held = view.documentVersion;
             applyRows(view, result->version, result->rows);
-            view.document = world.documents[view.documentVersion];
+            if (view.documentVersion != held) {
+                view.document = world.documents[view.documentVersion];
+            }
             readAt = sentAt;
         });
     });
@@ -120,7 +123,9 @@
     declare(smallDocument());
     for (const auto &[id, vm] : smallDocument().vms) {
         platform[id] = {};
-        table.put(fmt::format("view/vm/{}", id), encodeVm({.id = id, .pool = vm.pool, .zone = vm.zone, .rack = vm.rack}));
+        table.put(
+            fmt::format("view/vm/{}", id),
+            encodeVm({.id = id, .pool = vm.pool, .zone = vm.zone, .rack = vm.rack, .slots = vm.slots, .connections = vm.connections}));
     }
     before = vms();
     table.onCommit = [this] {
@@ -215,7 +220,11 @@
 {
     std::map<std::string, VmRow> out;
     for (const auto &row : table.rows("view/vm/")) {
-        out[row.key.substr(vmPrefix.size())] = *parseVm(*row.value);
+        const auto id = row.key.substr(vmPrefix.size());
+        const auto held = before.find(id);
+        const bool isSame = held != before.end() && held->second.version == row.version;
+        auto &vm = out[id] = isSame ? held->second : *parseVm(*row.value);
+        vm.version = row.version;
     }
     return out;
 }
