Answer not run only after its record, drain leaving VMs, encode keys in reads

Cause: a repeat that followed a refusal within 50 ms at another entry found the pending record and got the outcome unknown; a VM that the platform takes away was kept in service by its pool's budget, and was seen only while another VM restarted; keys with '&' or '%' made a wider read. Change: the refusal waits for its record, 250 ms at most; one entry looks for leaving VMs every 5 s and drains them whatever the budget says; prefixes are percent-encoded. Event names are snake_case throughout.

--- a/src/adapters/platformclient.cpp
+++ b/src/adapters/platformclient.cpp
@@ -1,6 +1,7 @@
 // Platform calls over HTTP and JSON.
 #include "adapters/platformclient.hpp"
 
+#include "helpers/url.hpp"
 #include "ports/conflicts.hpp"
 
 #include <nlohmann/json.hpp>
@@ -128,7 +129,7 @@
         .read =
             [this](const ReadRequest &request, TablePort::ReadCallback callback) {
                 ++m_counters.reads;
-                const auto path = "/v1/rows?prefix=" + request.prefix + "&since=" + std::to_string(request.since);
+                const auto path = "/v1/rows?prefix=" + percentEncode(request.prefix) + "&since=" + std::to_string(request.since);
                 call("GET", path, {}, [callback = std::move(callback)](auto answer) {
                     callback(answer.ok() ? decodeRead(*answer) : absl::StatusOr<ReadResult>(answer.status()));
                 });
@@ -167,7 +168,7 @@
             },
         .reboot =
             [this](const std::string &id, std::function<void(absl::Status)> callback) {
-                call("POST", "/v1/vms/" + id + "/reboot", {}, [callback = std::move(callback)](auto answer) {
+                call("POST", "/v1/vms/" + percentEncode(id) + "/reboot", {}, [callback = std::move(callback)](auto answer) {
                     if (answer.ok() && answer->status >= 300) {
                         return callback(
                             absl::FailedPreconditionError("platform refused the reboot: status " + std::to_string(answer->status)));
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -3,7 +3,6 @@
 
 #include "adapters/httpclient.hpp"
 
-#include <cctype>
 #include <optional>
 
 namespace hibiscusbridge
@@ -39,18 +38,4 @@
     return HttpResponse{.status = result->status, .headers = std::move(result->headers), .body = std::move(result->body)};
 }
 
-std::string percentEncode(std::string_view text)
-{
-    static constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string out;
-    for (const unsigned char c : text) {
-        if (std::isalnum(c) || c == '-' || c == '_' || c == '.') {
-            out += static_cast<char>(c);
-        } else {
-            out += {'%', digits[c >> 4], digits[c & 15]};
-        }
-    }
-    return out;
-}
-
 } // namespace hibiscusbridge
--- a/src/cli/client.hpp
+++ b/src/cli/client.hpp
@@ -29,7 +29,4 @@
 /// Calls and waits. Fails with kUnavailable when no request was sent, kUnknown when it was sent and no answer came.
 absl::StatusOr<HttpResponse> callOperatorPort(const OperatorAccess &access, OperatorCall call);
 
-/// Percent-encodes a path segment or a query value.
-std::string percentEncode(std::string_view text);
-
 } // namespace hibiscusbridge
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -4,6 +4,7 @@
 #include "cli/client.hpp"
 #include "cli/render.hpp"
 #include "helpers/ids.hpp"
+#include "helpers/url.hpp"
 
 #include <array>
 #include <fstream>
--- a/src/entry/respond.cpp
+++ b/src/entry/respond.cpp
@@ -3,7 +3,6 @@
 
 #include "helpers/ids.hpp"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace hibiscusbridge
@@ -41,35 +40,6 @@
     return errorResponse(httpStatusOf(status), std::string(status.message()));
 }
 
-std::string percentDecode(std::string_view text)
-{
-    std::string out;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        unsigned char c = 0;
-        if (text[i] == '%' && i + 2 < text.size()
-            && std::from_chars(text.data() + i + 1, text.data() + i + 3, c, 16).ptr == text.data() + i + 3) {
-            out += static_cast<char>(c);
-            i += 2;
-        } else {
-            out += text[i];
-        }
-    }
-    return out;
-}
-
-std::string queryValue(std::string_view query, std::string_view name)
-{
-    while (!query.empty()) {
-        const auto end = query.find('&');
-        const auto item = query.substr(0, end);
-        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=') {
-            return percentDecode(item.substr(name.size() + 1));
-        }
-        query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
-    }
-    return {};
-}
-
 std::string bearerToken(const HttpRequest &request)
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/entry/respond.hpp
+++ b/src/entry/respond.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "adapters/httpserver.hpp"
+#include "helpers/url.hpp"
 #include "model/document.hpp"
 
 #include <absl/status/status.h>
@@ -18,10 +19,6 @@
 /// kUnavailable gives 503, kDeadlineExceeded and kUnknown 504, kAborted 409, kNotFound 404, others 400.
 HttpResponse errorResponse(const absl::Status &status);
 
-/// The decoded value of a query parameter; empty when absent.
-std::string queryValue(std::string_view query, std::string_view name);
-std::string percentDecode(std::string_view text);
-
 /// Token of an `Authorization: Bearer` header; empty when absent.
 std::string bearerToken(const HttpRequest &request);
 /// Team whose token the request carries; empty for none.
--- a/src/fleet/manager.cpp
+++ b/src/fleet/manager.cpp
@@ -15,6 +15,9 @@
 constexpr Millis tickInterval{1'000};
 /// The list has a line for every VM; read each second by every entry it alone exceeded the budget for control traffic.
 constexpr Millis listInterval{3'000};
+/// Interval of the one entry that looks for VMs that the platform takes away.
+constexpr Millis leavingListInterval{5'000};
+constexpr std::string_view leavingSubject = "leaving-vms";
 /// An older view may show a VM as out of service that has returned; shorter than `settleTime`.
 constexpr Millis maxViewAge{3'000};
 constexpr Millis perhapsDoneTime{10'000};
@@ -49,7 +52,9 @@
 static bool needsList(const VmRow &vm)
 {
     const bool restarts = vm.operation && (vm.operation->kind == OperationKind::Reboot || vm.operation->kind == OperationKind::Repair);
-    return restarts && (vm.state == VmState::Drained || vm.state == VmState::Rebooting || vm.state == VmState::Verifying);
+    const bool isLeaving = vm.operation && vm.operation->reason == leavingReason;
+    return (isLeaving && vm.state == VmState::Drained)
+           || (restarts && (vm.state == VmState::Drained || vm.state == VmState::Rebooting || vm.state == VmState::Verifying));
 }
 
 bool FleetManager::needsPlatformList() const
@@ -63,14 +68,16 @@
 
 void FleetManager::updatePlatformList()
 {
-    if (!needsPlatformList()) {
+    const bool looksForLeaving = owns(leavingSubject);
+    if (!looksForLeaving && !needsPlatformList()) {
         // An old list would show a boot count from before an earlier reboot.
         m_platform.clear();
         m_listedAt.reset();
         return;
     }
     const auto now = m_ports.clock.boot();
-    if (m_listedAt && now - *m_listedAt < listInterval) {
+    const auto interval = looksForLeaving && !needsPlatformList() ? leavingListInterval : listInterval;
+    if (m_listedAt && now - *m_listedAt < interval) {
         return;
     }
     m_listedAt = now;
@@ -102,6 +109,7 @@
     const auto health = m_ports.health();
     const FleetInput input{.view = m_ports.view(), .health = health, .platform = m_platform, .actor = m_id, .now = m_ports.clock.wall()};
     stepVms(input);
+    drainLeaving(input);
     refillPools(input);
     stepWaves(input);
 }
@@ -141,7 +149,7 @@
             m_pending[subject].version = *version;
             return;
         }
-        logEvent(LogLevel::Info, "fleet-commit-failed", {{"subject", subject}, {"error", std::string(version.status().message())}});
+        logEvent(LogLevel::Info, "fleet_commit_failed", {{"subject", subject}, {"error", std::string(version.status().message())}});
         // Otherwise perhaps done: stays pending until the time is over, and then the preconditions decide.
         if (absl::IsAborted(version.status()) || absl::IsUnavailable(version.status())) {
             m_pending.erase(subject);
@@ -220,11 +228,8 @@
 {
     Operation operation;
     const auto declared = input.view.document.vms.find(vm.id);
-    const auto line = std::ranges::find(input.platform, vm.id, &PlatformVm::id);
     if (declared == input.view.document.vms.end()) {
         operation = {.kind = OperationKind::Drain, .reason = std::string(undeclaredReason)};
-    } else if (line != input.platform.end() && line->state == PlatformVmState::Leaving) {
-        operation = {.kind = OperationKind::Drain, .reason = std::string(leavingReason)};
     } else if (auto update = updateProperties(input, vm.id)) {
         return commit("vm/" + vm.id, std::move(*update));
     } else if (declared->second.address != vm.address) {
@@ -234,13 +239,30 @@
     } else {
         return;
     }
-    const OperationStart start{vm.id, operation};
+    startOne(input, {vm.id, operation});
+}
+
+void FleetManager::startOne(const FleetInput &input, const OperationStart &start)
+{
     auto transaction = startOperations(input, std::span(&start, 1));
     if (!transaction.ok()) {
-        m_reasons[vm.id] = std::string(transaction.status().message());
+        m_reasons[start.vm] = std::string(transaction.status().message());
         return;
     }
-    commit("vm/" + vm.id, std::move(*transaction));
+    commit("vm/" + start.vm, std::move(*transaction));
+}
+
+void FleetManager::drainLeaving(const FleetInput &input)
+{
+    for (const auto &line : input.platform) {
+        const auto it = input.view.vms.find(line.id);
+        if (line.state != PlatformVmState::Leaving || it == input.view.vms.end() || it->second.state != VmState::Active) {
+            continue;
+        }
+        if (!isPending("vm/" + line.id)) {
+            startOne(input, {line.id, {.kind = OperationKind::Drain, .reason = std::string(leavingReason)}});
+        }
+    }
 }
 
 void FleetManager::refillPools(const FleetInput &input)
--- a/src/fleet/manager.hpp
+++ b/src/fleet/manager.hpp
@@ -53,6 +53,9 @@
     void act();
     void stepVms(const FleetInput &input);
     void reconcileVm(const FleetInput &input, const VmRow &vm);
+    void startOne(const FleetInput &input, const OperationStart &start);
+    /// Drains VMs that the platform's list shows as leaving.
+    void drainLeaving(const FleetInput &input);
     void refillPools(const FleetInput &input);
     void stepWaves(const FleetInput &input);
     void startWavePlan(const FleetInput &input, const Wave &wave, const WavePlan &plan);
--- a/src/fleet/start.cpp
+++ b/src/fleet/start.cpp
@@ -36,7 +36,9 @@
         ids.push_back(start.vm);
     }
     const auto decision = removalDecision(input.view, ids, input.health);
-    if (!decision.allowed) {
+    // The platform takes a leaving VM away whatever the budget says; work sent to it would be lost.
+    const bool isLeaving = std::ranges::all_of(starts, [](const auto &it) { return it.operation.reason == leavingReason; });
+    if (!decision.allowed && !isLeaving) {
         return absl::FailedPreconditionError(decision.reason);
     }
     ChangeSet changes(input.view);
--- a/src/fleet/step.cpp
+++ b/src/fleet/step.cpp
@@ -150,7 +150,8 @@
 {
     const auto count = countFleet(input.view, input.health);
     const auto it = count.pools.find(vm.pool);
-    if (it != count.pools.end() && it->second.healthy < it->second.budget.minHealthy) {
+    const bool isLeaving = vm.operation->reason == leavingReason;
+    if (!isLeaving && it != count.pools.end() && it->second.healthy < it->second.budget.minHealthy) {
         const auto reason =
             fmt::format("pool {}: {} healthy VMs, minHealthy is {}", vm.pool, it->second.healthy, it->second.budget.minHealthy);
         return {.kind = StepKind::Commit, .transaction = *undoOperation(input, vm.id, reason), .reason = reason};
--- a/src/requests/oncecleanup.cpp
+++ b/src/requests/oncecleanup.cpp
@@ -115,7 +115,7 @@
         }
         auto stored = parseMarks(*row.value);
         if (!stored) {
-            logEvent(LogLevel::Error, "onceMarksMalformed", {{"key", row.key}});
+            logEvent(LogLevel::Error, "once_marks_malformed", {{"key", row.key}});
             return;
         }
         // A read may be older than what is known already.
--- a/src/requests/oncemanager.cpp
+++ b/src/requests/oncemanager.cpp
@@ -89,7 +89,7 @@
     }
     const auto found = parseOnce(*row.value);
     if (!found) {
-        logEvent(LogLevel::Error, "onceMalformed", {{"key", row.key}});
+        logEvent(LogLevel::Error, "once_malformed", {{"key", row.key}});
         return decide(claim, {.verdict = OnceVerdict::Unknown, .reason = "malformed record"});
     }
     if (found->token != claim->grant.record.token) {
@@ -159,23 +159,35 @@
     record(std::move(grant));
 }
 
-void OnceManager::recordNotRun(OnceGrant grant)
+/// Ends the wait for a record, once.
+static void endWait(std::function<void()> &done)
+{
+    if (const auto callback = std::exchange(done, nullptr)) {
+        callback();
+    }
+}
+
+void OnceManager::recordNotRun(OnceGrant grant, std::function<void()> done)
 {
     grant.record.outcome = OnceOutcome::NotRun;
-    record(std::move(grant));
+    record(std::move(grant), std::move(done));
 }
 
-void OnceManager::record(OnceGrant grant)
+void OnceManager::record(OnceGrant grant, std::function<void()> done)
 {
     ++m_recordsInFlight;
-    writeRecord(std::make_shared<Record>(Record{.grant = std::move(grant), .backoff = firstRecordBackoff}));
+    auto record = std::make_shared<Record>(Record{.grant = std::move(grant), .backoff = firstRecordBackoff, .done = std::move(done)});
+    if (record->done) {
+        later(notRunRecordWait, [record] { endWait(record->done); });
+    }
+    writeRecord(record);
 }
 
 void OnceManager::writeRecord(const std::shared_ptr<Record> &record)
 {
     ++record->attempts;
     const auto &grant = record->grant;
-    m_writer.write({grant.rowKey, grant.version, encodeOnce(grant.record), true},
+    m_writer.write({grant.rowKey, grant.version, encodeOnce(grant.record), !record->done},
                    [this, record](const RowWriteResult &result) { handleRecord(record, result); });
 }
 
@@ -194,9 +206,10 @@
         return;
     }
     --m_recordsInFlight;
+    endWait(record->done);
     if (!done) {
         ++m_counters.outcomesLost;
-        logEvent(LogLevel::Warn, "onceOutcomeLost", {{"key", record->grant.rowKey}, {"status", result.status.ToString()}});
+        logEvent(LogLevel::Warn, "once_outcome_lost", {{"key", record->grant.rowKey}, {"status", result.status.ToString()}});
     }
 }
 
--- a/src/requests/oncemanager.hpp
+++ b/src/requests/oncemanager.hpp
@@ -48,6 +48,9 @@
     std::string reason;
 };
 
+/// Longest time that a refusal as not run waits for its record.
+inline constexpr Millis notRunRecordWait{250};
+
 /// Invariant: a token is granted at most once, by the process that made it, and a record becomes `NotRun` only when its
 /// token was not and never will be used to send. Therefore another token may replace a `NotRun` record.
 class OnceManager
@@ -62,8 +65,9 @@
 
     /// Records the target's answer in the background. An answer larger than 16 KB is not stored.
     void recordFinished(OnceGrant grant, int status, const std::vector<Header> &headers, const std::string &body);
-    /// Records in the background that the request was not sent and never will be.
-    void recordNotRun(OnceGrant grant);
+    /// Records that the request was not sent and never will be. `done` runs once, when the record is written or after
+    /// `notRunRecordWait`, so that a repeat that follows the answer finds the record.
+    void recordNotRun(OnceGrant grant, std::function<void()> done = {});
     /// Outcomes that are still being written; a graceful stop waits for them.
     std::size_t recordsInFlight() const
     {
@@ -86,6 +90,8 @@
         OnceGrant grant;
         int attempts = 0;
         Millis backoff;
+        /// Empty when nobody waits or the wait is over.
+        std::function<void()> done;
     };
 
     void insert(const ClaimPtr &claim);
@@ -95,7 +101,7 @@
     void takeOwnRow(const ClaimPtr &claim, std::uint64_t version);
     void retryInsert(const ClaimPtr &claim);
     void decide(const ClaimPtr &claim, const OnceResult &result);
-    void record(OnceGrant grant);
+    void record(OnceGrant grant, std::function<void()> done = {});
     void writeRecord(const std::shared_ptr<Record> &record);
     void handleRecord(const std::shared_ptr<Record> &record, const RowWriteResult &result);
     void later(Millis delay, std::function<void()> fn);
--- a/src/requests/requestmanager.cpp
+++ b/src/requests/requestmanager.cpp
@@ -253,7 +253,7 @@
     exchange->maybeRan = exchange->maybeRan || result.outcome == TargetOutcome::Unknown;
     if (mayRetry(*exchange)) {
         ++m_counters.retries;
-        logEvent(LogLevel::Info, "requestRetry", {{"id", exchange->id}, {"vm", vm}, {"error", result.error}});
+        logEvent(LogLevel::Info, "request_retry", {{"id", exchange->id}, {"vm", vm}, {"error", result.error}});
         return acquire(exchange);
     }
     giveUp(exchange, result.error);
@@ -313,10 +313,17 @@
     if (exchange->maybeRan) {
         return end(exchange, unknownResponse(m_ports.clock.boot() >= exchange->deadline, reason));
     }
-    if (exchange->grant) {
-        m_once.recordNotRun(*exchange->grant);
+    auto response = notRunResponse(503, reason, retryAfter(*exchange));
+    if (!exchange->grant) {
+        return end(exchange, std::move(response));
     }
-    end(exchange, notRunResponse(503, reason, retryAfter(*exchange)));
+    // A repeat that another entry gets right after this answer must find the record.
+    releaseLease(*exchange);
+    m_once.recordNotRun(*exchange->grant, [this, alive = std::weak_ptr(m_alive), exchange, response = std::move(response)] {
+        if (!alive.expired()) {
+            end(exchange, response);
+        }
+    });
 }
 
 void RequestManager::end(const ExchangePtr &exchange, CallerResponse response)
--- a/src/requests/targethealth.cpp
+++ b/src/requests/targethealth.cpp
@@ -76,7 +76,7 @@
     state.ejected = false;
     state.readmittedAt = now;
     ++m_counters.readmissions;
-    logEvent(LogLevel::Info, "vmReadmitted", {{"vm", vm}});
+    logEvent(LogLevel::Info, "vm_readmitted", {{"vm", vm}});
 }
 
 void TargetHealth::noteNothing(std::string_view vm)
@@ -96,7 +96,7 @@
     state.ejectedUntil = now + firstEjection * (std::int64_t{1} << std::min(state.ejections, maxBackoffSteps));
     ++state.ejections;
     ++m_counters.ejections;
-    logEvent(LogLevel::Warn, "vmEjected", {{"vm", vm}, {"forMs", (state.ejectedUntil - now).count}});
+    logEvent(LogLevel::Warn, "vm_ejected", {{"vm", vm}, {"forMs", (state.ejectedUntil - now).count}});
 }
 
 void TargetHealth::noteFailure(
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,6 +1,7 @@
 // Stand-in of the platform: table service, VM list and VM actions over HTTP, with faults switched on by requests.
 // POST /control {"outage":bool,"slowMs":n,"loseReplies":n,"olderReads":bool,"leaving":[ids],"gone":[ids]}
 #include "adapters/httpserver.hpp"
+#include "helpers/url.hpp"
 
 #include <charconv>
 #include <iostream>
@@ -74,16 +75,6 @@
     return jsonResponse(200, {{"version", platform.version}});
 }
 
-std::string queryValue(std::string_view query, std::string_view name)
-{
-    const auto at = query.find(std::string(name) + "=");
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto rest = query.substr(at + name.size() + 1);
-    return std::string(rest.substr(0, rest.find('&')));
-}
-
 HttpResponse readRows(Platform &platform, const std::string &query)
 {
     ++platform.reads;
