--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -297,3 +297,17 @@
     CHECK(plan.bringIn[0].pool == "a");
     CHECK_FALSE(plan.finished);
 }
+
+// Guards against sending work to a VM until the platform takes it away, because its pool has no VM to spare.
+TEST_CASE("a leaving VM is drained although the budget refuses removals", "[fleet][step]")
+{
+    auto view = makeView(3, 3, 1, 0);
+    const OperationStart planned{"a1", {.kind = OperationKind::Drain, .reason = "operator request"}};
+    const OperationStart leaving{"a1", {.kind = OperationKind::Drain, .reason = std::string(leavingReason)}};
+    CHECK_FALSE(startOperations({view, {}, {}, "e1", {}}, std::span(&planned, 1)).ok());
+    const auto transaction = startOperations({view, {}, {}, "e1", {}}, std::span(&leaving, 1));
+    REQUIRE(transaction.ok());
+    putOut(view, "a1", VmState::Announced);
+    view.vms.at("a1").operation = rowOf(*transaction, "a1").operation;
+    CHECK(rowOf(nextStep({view, {}, {}, "e1", {}}, "a1", {.announcement = true}).transaction, "a1").state == VmState::Draining);
+}
--- a/tests/unit/requests_test.cpp
+++ b/tests/unit/requests_test.cpp
@@ -350,3 +350,22 @@
                   << times[times.size() * 99 / 100] - unkeyed << ", longest " << times.back() - unkeyed << '\n';
     }
 }
+
+// Guards against a repeat at another entry that finds the pending record and reports a refused request as unknown.
+TEST_CASE("a refusal as not run is answered after its record is written", "[once]")
+{
+    Bench bench;
+    bench.entry.target.always = TargetFault::Refuses;
+    TestEntry other(bench.loop, bench.table, bench.executions, testView(3, 1));
+    bench.entry.ask(post("k", "x"));
+    for (int i = 0; i < 1'000 && bench.entry.answers.empty(); ++i) {
+        bench.loop.advance({1});
+    }
+    REQUIRE(bench.entry.answers.size() == 1);
+    CHECK(bench.entry.answers[0].outcome == RequestOutcome::NotRun);
+    other.ask(post("k", "x"));
+    bench.loop.advance({6'000});
+    REQUIRE(other.answers.size() == 1);
+    CHECK(other.answers[0].outcome == RequestOutcome::Finished);
+    CHECK(bench.executions.size() == 1);
+}
