--- a/src/entry/components.cpp
+++ b/src/entry/components.cpp
@@ -1,7 +1,7 @@
 // Wires the managers of an entry to its adapters.
 #include "entry/components.hpp"
 
-#include <absl/strings/string_view.h>
+#include "helpers/ids.hpp"
 
 namespace hibiscusbridge
 {
--- a/src/entry/fleetroutes.cpp
+++ b/src/entry/fleetroutes.cpp
@@ -39,19 +39,30 @@
                                        });
 }
 
-void drainVm(Components &components, const HttpRequest &request, const std::string &vm, HttpResponder respond)
+/// The team that may operate the VM's pool; kNotFound or kPermissionDenied with the reason.
+static absl::StatusOr<std::string> operatingTeam(const Components &components, const HttpRequest &request, const std::string &vm)
 {
-    const auto row = components.view().vms.find(vm);
-    if (row == components.view().vms.end()) {
-        return respond(errorResponse(404, "VM '" + vm + "' does not exist"));
+    const auto &view = components.view();
+    const auto row = view.vms.find(vm);
+    if (row == view.vms.end()) {
+        return absl::NotFoundError("VM '" + vm + "' does not exist");
     }
-    const auto team = teamOf(components.view().document, request);
-    if (!mayOperatePool(components.view().document, team, row->second.pool)) {
-        return respond(errorResponse(403, "the token is not that of the owner of pool '" + row->second.pool + "'"));
+    auto team = teamOf(view.document, request);
+    if (!mayOperatePool(view.document, team, row->second.pool)) {
+        return absl::PermissionDeniedError("the token is not that of the owner of pool '" + row->second.pool + "'");
+    }
+    return team;
+}
+
+void drainVm(Components &components, const HttpRequest &request, const std::string &vm, HttpResponder respond)
+{
+    const auto team = operatingTeam(components, request, vm);
+    if (!team.ok()) {
+        return respond(errorResponse(team.status()));
     }
     const auto health = components.health();
     const OperationStart start{vm, {.kind = OperationKind::Drain, .reason = reasonOf(request, "operator request")}};
-    auto transaction = startOperations(inputFor(components, health, team), std::span(&start, 1));
+    auto transaction = startOperations(inputFor(components, health, *team), std::span(&start, 1));
     if (!transaction.ok()) {
         return respond(errorResponse(422, std::string(transaction.status().message())));
     }
@@ -60,16 +71,12 @@
 
 void undoDrain(Components &components, const HttpRequest &request, const std::string &vm, HttpResponder respond)
 {
-    const auto row = components.view().vms.find(vm);
-    if (row == components.view().vms.end()) {
-        return respond(errorResponse(404, "VM '" + vm + "' does not exist"));
-    }
-    const auto team = teamOf(components.view().document, request);
-    if (!mayOperatePool(components.view().document, team, row->second.pool)) {
-        return respond(errorResponse(403, "the token is not that of the owner of pool '" + row->second.pool + "'"));
+    const auto team = operatingTeam(components, request, vm);
+    if (!team.ok()) {
+        return respond(errorResponse(team.status()));
     }
     const auto health = components.health();
-    auto transaction = undoOperation(inputFor(components, health, team), vm, reasonOf(request, "operator request"));
+    auto transaction = undoOperation(inputFor(components, health, *team), vm, reasonOf(request, "operator request"));
     if (!transaction.ok()) {
         return respond(errorResponse(422, std::string(transaction.status().message())));
     }
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -1,10 +1,6 @@
 // Active health checks of VMs.
 #include "entry/prober.hpp"
 
-#include "helpers/ids.hpp"
-
-#include <algorithm>
-
 namespace hibiscusbridge
 {
 
@@ -13,15 +9,6 @@
 /// A single lost packet or a pause of the VM must not count as a failure.
 constexpr int failuresToFail = 3;
 
-bool ownsSubject(std::string_view self, std::span<const std::string> members, std::string_view subject)
-{
-    const auto score = [&](std::string_view member) {
-        return stableHash(std::string(member) + "/" + std::string(subject));
-    };
-    const auto own = score(self);
-    return std::all_of(members.begin(), members.end(), [&](const auto &member) { return member == self || score(member) < own; });
-}
-
 Prober::Prober(TargetPort target, TimerPort timers, Clock clock, ViewManager &views)
     : m_target(std::move(target))
     , m_timers(std::move(timers))
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -9,15 +9,11 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <span>
 #include <string>
 
 namespace hibiscusbridge
 {
 
-/// Rendezvous hashing: true when this entry has the highest score of the members for the subject.
-bool ownsSubject(std::string_view self, std::span<const std::string> members, std::string_view subject);
-
 /// Sends `GET /` to each owned VM's port at intervals; any HTTP answer counts as healthy. Each VM is probed by the entry
 /// that also carries out its operations.
 class Prober
--- a/src/entry/respond.cpp
+++ b/src/entry/respond.cpp
@@ -30,6 +30,8 @@
         return 409;
     case absl::StatusCode::kNotFound:
         return 404;
+    case absl::StatusCode::kPermissionDenied:
+        return 403;
     default:
         return 400;
     }
--- a/src/entry/respond.hpp
+++ b/src/entry/respond.hpp
@@ -16,7 +16,8 @@
 HttpResponse jsonResponse(const nlohmann::json &object);
 /// One line of text for operators.
 HttpResponse errorResponse(int status, std::string_view text);
-/// kUnavailable gives 503, kDeadlineExceeded and kUnknown 504, kAborted 409, kNotFound 404, others 400.
+/// kUnavailable gives 503, kDeadlineExceeded and kUnknown 504, kAborted 409, kNotFound 404,
+/// kPermissionDenied 403, others 400.
 HttpResponse errorResponse(const absl::Status &status);
 
 /// Token of an `Authorization: Bearer` header; empty when absent.
--- a/src/fleet/manager.cpp
+++ b/src/fleet/manager.cpp
@@ -116,11 +116,7 @@
 
 bool FleetManager::owns(std::string_view subject) const
 {
-    const auto score = [&](std::string_view member) {
-        return stableHash(fmt::format("{}/{}", member, subject));
-    };
-    const auto own = score(m_id);
-    return std::ranges::all_of(m_members, [&](const auto &member) { return member == m_id || score(member) < own; });
+    return ownsSubject(m_id, m_members, subject);
 }
 
 bool FleetManager::isPending(const std::string &subject)
--- a/src/helpers/ids.cpp
+++ b/src/helpers/ids.cpp
@@ -1,6 +1,7 @@
 // Random identifiers and hashes by libsodium and xxHash.
 #include "helpers/ids.hpp"
 
+#include <algorithm>
 #include <array>
 #include <sodium.h>
 #include <xxhash.h>
@@ -35,6 +36,15 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
+bool ownsSubject(std::string_view self, std::span<const std::string> members, std::string_view subject)
+{
+    const auto score = [&](std::string_view member) {
+        return stableHash(std::string(member) + "/" + std::string(subject));
+    };
+    const auto own = score(self);
+    return std::all_of(members.begin(), members.end(), [&](const auto &member) { return member == self || score(member) < own; });
+}
+
 bool equalSecrets(std::string_view a, std::string_view b)
 {
     const auto hashA = sha256Hex(a);
