--- a/tests/process/entries_test.cpp
+++ b/tests/process/entries_test.cpp
@@ -194,7 +194,7 @@
     for (const auto &[key, times] : targets["byKey"].items()) {
         CHECK(times == 1);
         // The outcome is recorded shortly after the answer.
-        CHECK(waitFor([&] { return callWithKey(fleet, 0, "/svc0/sleep/50", key).outcome() == "finished"; }, {2'000}));
+        CHECK(waitFor([&, sameKey = key] { return callWithKey(fleet, 0, "/svc0/sleep/50", sameKey).outcome() == "finished"; }, {2'000}));
     }
     CHECK(fleet.targetReport()["byKey"] == targets["byKey"]);
 }
--- a/tests/unit/httpclient_test.cpp
+++ b/tests/unit/httpclient_test.cpp
@@ -30,7 +30,7 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        (void)bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
         listen(m_listener, 8);
         socklen_t size = sizeof address;
         getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
--- a/tests/unit/peerlink_test.cpp
+++ b/tests/unit/peerlink_test.cpp
@@ -37,7 +37,7 @@
 void runWhileSending(EventLoop &loop, const std::function<void()> &sendOnce)
 {
     for (int i = 1; i <= 10; ++i) {
-        loop.timers().after({i * 50}, sendOnce);
+        loop.timers().after(Millis{50} * i, sendOnce);
     }
     loop.timers().after({700}, [&] { loop.stop(); });
     loop.run();
