--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -123,17 +123,13 @@
             if (it->stopWanted || !stepOf(*it).longRunning || it->phase != RunPhase::Running) {
                 continue;
             }
-            auto &subtask = subtaskOf(*it);
-            // A subtask that is not at work costs nothing; on a leaving worker it is lost in any case.
-            const bool atWork = subtask.awaySince.count == 0;
-            if (atWork && !leaving && !hasRoomElsewhere(*it, now)) {
-                continue;
-            }
-            if (atWork && !leaving && !mayStopLasting(*it->job, it->occurrence, it->step, it->index, now)) {
+            // Lists are up to one hold old: a subtask that none has shown at work may be at work by now. A leaving worker ends
+            // it in any case.
+            if (!leaving && !(hasRoomElsewhere(*it, now) && mayStopLasting(*it->job, it->occurrence, it->step, it->index, now))) {
                 continue;
             }
             it->stopWanted = true;
-            subtask.awaySince = now;
+            subtaskOf(*it).awaySince = now;
             logEvent(LogLevel::Info,
                      "subtask_moved",
                      {{"job", it->job->spec.id},
--- a/tests/unit/pool_test.cpp
+++ b/tests/unit/pool_test.cpp
@@ -125,3 +125,56 @@
     pool.schedule(now, now, true);
     CHECK(pool.dueOrders(now).stops.size() == 1);
 }
+
+TEST_CASE("a lasting subtask that may be at work since its worker's last list is not moved while its neighbour is away")
+{
+    // Guards against moving a subtask that went to work after its worker's last list, while another one had just been lost.
+    JobSpec spec{.id = "0000000000000001", .route = "route"};
+    spec.steps = {{.count = 2, .need = {1'000, 10, 0}, .estimate = {700}}};
+    spec.steps[0].longRunning = true;
+    spec.steps[0].maxPerWorker = 1;
+    spec.steps[0].mayMiss = 1;
+    Pool pool("pool", 7, {});
+    Millis now{100'000};
+    pool.addJob(spec, std::nullopt, now, now);
+    std::vector<WorkerEntry> entries;
+    for (const auto *const id : {"w0", "w1", "w2", "w3"}) {
+        entries.push_back({.id = id, .service = "pool", .address = id, .vm = id, .born = 5, .capacity = {8'000, 8'000, 0}});
+    }
+    pool.setWorkers(entries, now);
+    std::map<std::string, HoldResult> lists;
+    const auto listAll = [&] {
+        for (const auto &it : entries) {
+            auto &list = lists[it.id];
+            list.outcome = OrderOutcome::Accepted;
+            list.workerClock = {now.count - 99'000};
+            list.born = 5;
+            pool.onHold(it.id, pool.fenceAt(it.id), list, now, now, now);
+        }
+    };
+    listAll();
+    pool.schedule(now, now, true);
+    pool.takeRecords(10);
+    std::string first;
+    for (const auto &it : pool.recorded(now).starts) {
+        pool.onStart(it, {.outcome = OrderOutcome::Accepted, .workerClock = {1'001}}, now);
+        lists[it.worker.id].running = {{.subtask = it.subtask, .run = it.run, .progressPercent = 95}};
+        first = it.worker.id;
+    }
+    REQUIRE_FALSE(first.empty());
+    now += Millis{600};
+    listAll();
+    pool.emptyVms({first}, now + Millis{5'000});
+    now += Millis{400};
+    pool.schedule(now, now, true);
+    CHECK(pool.dueOrders(now).stops.empty());
+    for (auto &[id, list] : lists) {
+        for (auto &it : list.running) {
+            it.progressPercent = 100;
+        }
+    }
+    listAll();
+    now += PoolTimes{}.atWork;
+    pool.schedule(now, now, true);
+    CHECK(pool.dueOrders(now).stops.size() == 1);
+}
