Give freed room to lasting subtasks first and let them go back to a VM that can't be emptied

Change: room that is freed is kept for a lasting subtask that fits nowhere; one without room elsewhere is placed on a VM that is being emptied and still carries lasting ones.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -78,6 +78,12 @@
     return away < std::max(job.spec.steps[s].mayMiss, 1);
 }
 
+/// Answers and may get work, but for a VM that is being emptied.
+bool Pool::isUsable(const Worker &worker, Millis now) const
+{
+    return worker.registered && isHeard(worker) && !worker.entry.draining && worker.avoidUntil <= now;
+}
+
 /// The worker as placement sees it, without the siblings of a step.
 Candidate Pool::candidateOf(const Worker &worker, Millis now) const
 {
@@ -86,7 +92,7 @@
     if (worker.entry.labels.size() > 1) {
         it.rack = worker.entry.labels[1];
     }
-    it.usable = worker.registered && isHeard(worker) && !worker.entry.draining && worker.emptyUntil <= now && worker.avoidUntil <= now;
+    it.usable = isUsable(worker, now) && worker.emptyUntil <= now;
     it.suspicion = worker.failuresInARow >= suspiciousFailures ? 1 : 0;
     for (const Run *const run : worker.runs) {
         const auto &step = stepOf(*run);
@@ -284,12 +290,44 @@
     }
 };
 
+/// The worker for a lasting subtask that fits on none that takes new work: one on a VM that is being emptied and still has
+/// lasting subtasks, which may not stop while this one is away. Failing that, keeps the room that is freed next for it:
+/// short work would take each freed core for as long as a surge lasts.
+std::optional<std::size_t> Pool::chooseCrowded(const Ready &ready, Round &round, Millis now) const
+{
+    const auto &step = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
+    std::vector<Candidate> emptying;
+    std::optional<std::size_t> roomiest;
+    for (std::size_t i = 0; i < round.workers.size(); ++i) {
+        const auto &worker = *round.workers[i];
+        const bool carriesLasting =
+            std::any_of(worker.runs.begin(), worker.runs.end(), [](const Run *it) { return stepOf(*it).longRunning && !it->stopWanted; });
+        auto &it = emptying.emplace_back(round.candidates[i]);
+        it.siblings = siblingsOn(worker, *ready.job, ready.occurrence, ready.step);
+        it.usable = isUsable(worker, now) && worker.emptyUntil > now && carriesLasting;
+        auto drained = round.candidates[i];
+        drained.siblings = it.siblings;
+        drained.free = drained.capacity;
+        const auto freeCpu = round.candidates[i].free.cpuMilli;
+        if (canTake(step, drained) && (!roomiest || freeCpu > round.candidates[*roomiest].free.cpuMilli)) {
+            roomiest = i;
+        }
+    }
+    if (const auto choice = chooseWorker(step, emptying, {})) {
+        return choice;
+    }
+    if (roomiest) {
+        round.candidates[*roomiest].free = round.candidates[*roomiest].free - reserved(step);
+    }
+    return std::nullopt;
+}
+
 void Pool::placeStep(const Ready &ready, Round &round, Millis now)
 {
     auto &job = *ready.job;
     const auto s = static_cast<std::size_t>(ready.step);
     const auto &step = job.spec.steps[s];
-    if (reserved(step).cpuMilli > round.mostFreeCpu) {
+    if (reserved(step).cpuMilli > round.mostFreeCpu && !step.longRunning) {
         return;
     }
     auto &subtasks = job.occurrences[static_cast<std::size_t>(ready.occurrence)][s];
@@ -353,7 +391,10 @@
         if (subtask.done || !subtask.runs.empty() || subtask.retryAt > now) {
             continue;
         }
-        const auto choice = chooseWorker(step, candidates, siblingRack);
+        auto choice = chooseWorker(step, candidates, siblingRack);
+        if (!choice && step.longRunning && !advised) {
+            choice = chooseCrowded(ready, round, now);
+        }
         if (!choice) {
             return;
         }
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -45,7 +45,7 @@
         ->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)][static_cast<std::size_t>(run.index)];
 }
 
-const StepSpec &Pool::stepOf(const Run &run) const
+const StepSpec &Pool::stepOf(const Run &run)
 {
     return run.job->spec.steps[static_cast<std::size_t>(run.step)];
 }
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -252,7 +252,7 @@
     double durationRatio(const JobSpec &spec) const;
     std::int64_t remainingWork(const Job &job) const;
     Subtask &subtaskOf(const Run &run) const;
-    const StepSpec &stepOf(const Run &run) const;
+    static const StepSpec &stepOf(const Run &run);
     void markDirty(Job &job);
     Run &addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker);
     /// Removes a run that is certainly not on its worker any more.
@@ -266,12 +266,14 @@
     void releaseLapsed(Millis now);
     void evacuate(Millis now);
     void paceFillers();
+    bool isUsable(const Worker &worker, Millis now) const;
     Candidate candidateOf(const Worker &worker, Millis now) const;
     static int siblingsOn(const Worker &worker, const Job &job, int occurrence, int step);
     bool hasRoomElsewhere(const Run &run, Millis now) const;
     bool mayStopLasting(const Job &job, int occurrence, int step, int index, Millis now) const;
     Waiting waitingOf(const Job &job, int occurrence, Millis age) const;
     std::vector<Ready> readySteps(Millis now, Millis wall);
+    std::optional<std::size_t> chooseCrowded(const Ready &ready, Round &round, Millis now) const;
     void placeStep(const Ready &ready, Round &round, Millis now);
     StartOrder makeStart(Run &run, Millis now);
     bool needsAdvice(Job &job, int occurrence, int step, Millis now);
--- a/tests/unit/pool_test.cpp
+++ b/tests/unit/pool_test.cpp
@@ -79,102 +79,164 @@
     CHECK(pool.load(now).runs == 0);
 }
 
-TEST_CASE("a lasting subtask is not moved right after its neighbour was listed at work")
+namespace
 {
-    // Guards against a stop while the neighbour, whose progress is listed rounded, is not at work yet.
-    JobSpec spec{.id = "0000000000000001", .route = "route"};
-    spec.steps = {{.count = 2, .need = {1'000, 10, 0}, .estimate = {700}}};
-    spec.steps[0].longRunning = true;
-    spec.steps[0].maxPerWorker = 1;
-    spec.steps[0].mayMiss = 1;
-    Pool pool("pool", 7, {});
+
+/// A pool whose workers do what they are told and list it when asked.
+struct WorkerLists {
+    Pool pool{"pool", 7, {}};
     Millis now{100'000};
-    pool.addJob(spec, std::nullopt, now, now);
     std::vector<WorkerEntry> entries;
-    for (const auto *const id : {"w0", "w1", "w2"}) {
-        entries.push_back({.id = id, .service = "pool", .address = id, .vm = id, .born = 5, .capacity = {8'000, 8'000, 0}});
-    }
-    pool.setWorkers(entries, now);
     std::map<std::string, HoldResult> lists;
-    const auto listAll = [&] {
+
+    explicit WorkerLists(const std::vector<std::string> &ids)
+    {
+        for (const auto &id : ids) {
+            entries.push_back({.id = id, .service = "pool", .address = id, .vm = id, .born = 5, .capacity = {8'000, 8'000, 0}});
+            lists[id].outcome = OrderOutcome::Accepted;
+            lists[id].born = 5;
+        }
+        pool.setWorkers(entries, now);
+        listAll();
+    }
+
+    void listAll()
+    {
         for (const auto &it : entries) {
             auto &list = lists[it.id];
-            list.outcome = OrderOutcome::Accepted;
             list.workerClock = {now.count - 99'000};
-            list.born = 5;
             pool.onHold(it.id, pool.fenceAt(it.id), list, now, now, now);
         }
-    };
-    listAll();
-    pool.schedule(now, now, true);
-    pool.takeRecords(10);
-    std::string first;
-    for (const auto &it : pool.recorded(now).starts) {
-        pool.onStart(it, {.outcome = OrderOutcome::Accepted, .workerClock = {1'001}}, now);
-        lists[it.worker.id].running = {{.subtask = it.subtask, .run = it.run, .progressPercent = 100}};
-        first = it.worker.id;
     }
-    REQUIRE_FALSE(first.empty());
-    now += Millis{700};
-    listAll();
-    pool.emptyVms({first}, now + Millis{5'000});
-    pool.schedule(now, now, true);
-    CHECK(pool.dueOrders(now).stops.empty());
-    now += PoolTimes{}.atWork;
-    listAll();
-    pool.schedule(now, now, true);
-    CHECK(pool.dueOrders(now).stops.size() == 1);
-}
 
-TEST_CASE("a lasting subtask that may be at work since its worker's last list is not moved while its neighbour is away")
+    /// Places, records and starts what fits. Returns the workers of the starts.
+    std::vector<std::string> start(int progressPercent)
+    {
+        pool.schedule(now, now, true);
+        pool.takeRecords(100);
+        std::vector<std::string> started;
+        for (const auto &it : pool.recorded(now).starts) {
+            pool.onStart(it, {.outcome = OrderOutcome::Accepted, .workerClock = {now.count - 99'000}}, now);
+            lists[it.worker.id].running.push_back({.subtask = it.subtask, .run = it.run, .progressPercent = progressPercent});
+            started.push_back(it.worker.id);
+        }
+        return started;
+    }
+
+    /// Ends the first run of the worker's list.
+    void end(const std::string &worker, RunEnd how)
+    {
+        auto &list = lists[worker];
+        const auto first = list.running.front();
+        list.running.erase(list.running.begin());
+        const auto number = list.ended.empty() ? 1 : list.ended.back().number + 1;
+        list.ended.push_back({.number = number, .subtask = first.subtask, .run = first.run, .end = how});
+        listAll();
+    }
+
+    std::vector<StopOrder> stops()
+    {
+        return pool.dueOrders(now).stops;
+    }
+};
+
+JobSpec lastingJob(const std::string &id, int count)
 {
-    // Guards against moving a subtask that went to work after its worker's last list, while another one had just been lost.
-    JobSpec spec{.id = "0000000000000001", .route = "route"};
-    spec.steps = {{.count = 2, .need = {1'000, 10, 0}, .estimate = {700}}};
+    JobSpec spec{.id = id, .route = "route"};
+    spec.steps = {{.count = count, .need = {1'000, 10, 0}, .estimate = {700}}};
     spec.steps[0].longRunning = true;
     spec.steps[0].maxPerWorker = 1;
     spec.steps[0].mayMiss = 1;
-    Pool pool("pool", 7, {});
-    Millis now{100'000};
-    pool.addJob(spec, std::nullopt, now, now);
-    std::vector<WorkerEntry> entries;
-    for (const auto *const id : {"w0", "w1", "w2", "w3"}) {
-        entries.push_back({.id = id, .service = "pool", .address = id, .vm = id, .born = 5, .capacity = {8'000, 8'000, 0}});
-    }
-    pool.setWorkers(entries, now);
-    std::map<std::string, HoldResult> lists;
-    const auto listAll = [&] {
-        for (const auto &it : entries) {
-            auto &list = lists[it.id];
-            list.outcome = OrderOutcome::Accepted;
-            list.workerClock = {now.count - 99'000};
-            list.born = 5;
-            pool.onHold(it.id, pool.fenceAt(it.id), list, now, now, now);
-        }
-    };
-    listAll();
-    pool.schedule(now, now, true);
-    pool.takeRecords(10);
-    std::string first;
-    for (const auto &it : pool.recorded(now).starts) {
-        pool.onStart(it, {.outcome = OrderOutcome::Accepted, .workerClock = {1'001}}, now);
-        lists[it.worker.id].running = {{.subtask = it.subtask, .run = it.run, .progressPercent = 95}};
-        first = it.worker.id;
-    }
-    REQUIRE_FALSE(first.empty());
-    now += Millis{600};
-    listAll();
-    pool.emptyVms({first}, now + Millis{5'000});
-    now += Millis{400};
-    pool.schedule(now, now, true);
-    CHECK(pool.dueOrders(now).stops.empty());
-    for (auto &[id, list] : lists) {
+    return spec;
+}
+
+JobSpec shortJob(const std::string &id, int count, std::int64_t cpuMilli)
+{
+    JobSpec spec{.id = id, .route = "short"};
+    spec.steps = {{.count = count, .need = {cpuMilli, 10, 0}, .estimate = {600}}};
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("a lasting subtask is not moved right after its neighbour was listed at work")
+{
+    // Guards against a stop while the neighbour, whose progress is listed rounded, is not at work yet.
+    WorkerLists world({"w0", "w1", "w2"});
+    world.pool.addJob(lastingJob("0000000000000001", 2), std::nullopt, world.now, world.now);
+    const auto started = world.start(100);
+    REQUIRE(started.size() == 2);
+    world.now += Millis{700};
+    world.listAll();
+    world.pool.emptyVms({started[0]}, world.now + Millis{5'000});
+    world.pool.schedule(world.now, world.now, true);
+    CHECK(world.stops().empty());
+    world.now += PoolTimes{}.atWork;
+    world.listAll();
+    world.pool.schedule(world.now, world.now, true);
+    CHECK(world.stops().size() == 1);
+}
+
+TEST_CASE("a lasting subtask that may be at work since its worker's last list is not moved while its neighbour is away")
+{
+    // Guards against moving a subtask that went to work after its worker's last list, while another one had just been lost.
+    WorkerLists world({"w0", "w1", "w2", "w3"});
+    world.pool.addJob(lastingJob("0000000000000001", 2), std::nullopt, world.now, world.now);
+    const auto started = world.start(95);
+    REQUIRE(started.size() == 2);
+    world.now += Millis{600};
+    world.listAll();
+    world.pool.emptyVms({started[0]}, world.now + Millis{5'000});
+    world.now += Millis{400};
+    world.pool.schedule(world.now, world.now, true);
+    CHECK(world.stops().empty());
+    for (auto &[id, list] : world.lists) {
         for (auto &it : list.running) {
             it.progressPercent = 100;
         }
     }
-    listAll();
-    now += PoolTimes{}.atWork;
-    pool.schedule(now, now, true);
-    CHECK(pool.dueOrders(now).stops.size() == 1);
+    world.listAll();
+    world.now += PoolTimes{}.atWork;
+    world.pool.schedule(world.now, world.now, true);
+    CHECK(world.stops().size() == 1);
+}
+
+TEST_CASE("a lasting subtask gets the room that short work leaves, however small the short work is")
+{
+    // Guards against a lasting subtask that waits through a whole surge, because each freed core goes to a smaller subtask.
+    WorkerLists world({"w0"});
+    world.pool.addJob(shortJob("0000000000000001", 30, 1'000), std::nullopt, world.now, world.now);
+    REQUIRE(world.start(0).size() == 8);
+    auto spec = lastingJob("0000000000000002", 1);
+    spec.steps[0].need = {2'500, 10, 0};
+    world.pool.addJob(spec, std::nullopt, world.now, world.now);
+    CHECK(world.start(0).empty());
+    for (int i = 0; i < 3; ++i) {
+        CHECK(world.pool.load(world.now).queuedByRoute["route"] == 1);
+        world.now += Millis{100};
+        world.end("w0", RunEnd::Done);
+        world.start(0);
+    }
+    CHECK(world.pool.load(world.now).queuedByRoute["route"] == 0);
+}
+
+TEST_CASE("a lasting subtask without room elsewhere goes back to a VM that can't be emptied")
+{
+    // Guards against a VM that is kept empty for maintenance while it still carries lasting subtasks, which may not stop
+    // before the one that was moved off it runs again, for which there is no other room.
+    WorkerLists world({"w0", "w1"});
+    auto spec = lastingJob("0000000000000001", 4);
+    spec.steps[0].maxPerWorker = 0;
+    world.pool.addJob(spec, std::nullopt, world.now, world.now);
+    REQUIRE(world.start(100).size() == 4);
+    world.listAll();
+    world.now += Millis{700};
+    world.listAll();
+    world.pool.emptyVms({"w0"}, world.now + Millis{20'000});
+    world.pool.schedule(world.now, world.now, true);
+    REQUIRE(world.stops().size() == 1);
+    world.pool.addJob(shortJob("0000000000000002", 12, 2'000), std::nullopt, world.now, world.now);
+    CHECK(world.start(0) == std::vector<std::string>{"w1", "w1", "w1"});
+    world.end("w0", RunEnd::Stopped);
+    CHECK(world.start(0) == std::vector<std::string>{"w0"});
 }
