Let fast VMs claim shards first

Cause: on the grown site a pool's owner needs more than an entry with an eighth of a core has, and any entry could be it; one entry could also claim every shard at once, because its claims under way did not count. Change: settings limits.cpu_share and cpu_speed; the delay of a claim grows on slow VMs and with the shards held or being claimed.

--- a/src/config/entrysettings.cpp
+++ b/src/config/entrysettings.cpp
@@ -130,6 +130,8 @@
     constexpr double maxPort = 65'535;
     constexpr double maxRowBytes = 64 << 20;
     constexpr double maxRate = 1e6;
+    constexpr double minCpu = 0.01;
+    constexpr double maxCpu = 1'024;
     toml::table root;
     try {
         root = toml::parse(text);
@@ -148,6 +150,8 @@
     reader.address("ready_address", settings.readyAddress, true);
     reader.address("peer_address", settings.peerAddress, true);
     reader.number("metrics_port", 0, maxPort, [&](double value) { settings.metricsPort = static_cast<int>(value); });
+    reader.number("limits.cpu_share", minCpu, maxCpu, [&](double value) { settings.cpuShare = value; });
+    reader.number("limits.cpu_speed", minCpu, maxCpu, [&](double value) { settings.cpuSpeed = value; });
     reader.address("platform.store_address", settings.storeAddress, true);
     reader.number(
         "platform.store_row_bytes", 1024, maxRowBytes, [&](double value) { settings.storeRowBytes = static_cast<std::int64_t>(value); });
--- a/src/config/entrysettings.hpp
+++ b/src/config/entrysettings.hpp
@@ -22,6 +22,9 @@
     /// Port of /metrics on the peer address; 0 for none.
     int metricsPort = 0;
     std::string storeAddress;
+    /// Share of a core that the entry gets, and the speed of that core against an ordinary one.
+    double cpuShare = 0.25;
+    double cpuSpeed = 1;
     std::int64_t storeRowBytes = 65'536;
     std::string vmAddress;
     double vmActionsPerSecond = 64;
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -11,6 +11,17 @@
 /// For the clocks of workers, which may be slow by 2 %, and the age of what was seen of the former owner.
 constexpr Millis formerLeaseMargin{500};
 
+/// Delay of a claim on a VM with a whole core. A claim takes some 10 ms to be seen by the others; an eighth of a core makes it
+/// 240 ms, little against the 2 s after which an owner counts as gone.
+constexpr double claimDelayOfCore = 30;
+
+static LeaseTimes leaseTimes(const EntrySettings &settings)
+{
+    LeaseTimes times;
+    times.claimDelay = {static_cast<std::int64_t>(claimDelayOfCore / (settings.cpuShare * settings.cpuSpeed))};
+    return times;
+}
+
 ShardHost::ShardHost(const EntrySettings &settings, Ports ports)
     : m_settings(settings)
     , m_ports(std::move(ports))
@@ -27,7 +38,7 @@
         return it != m_pools.end() ? it->second->status() : std::string();
     };
     m_leases = std::make_unique<Leases>(
-        m_ports.store, m_ports.timers, m_ports.clock, m_settings.name, m_settings.peerAddress, LeaseTimes{}, std::move(callbacks));
+        m_ports.store, m_ports.timers, m_ports.clock, m_settings.name, m_settings.peerAddress, leaseTimes(m_settings), std::move(callbacks));
 }
 
 ShardHost::~ShardHost()
--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -4,6 +4,7 @@
 #include "helpers/ids.hpp"
 #include "helpers/log.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace hibiscusbridge::jobs
@@ -262,18 +263,37 @@
     if (shard.claimAt.count > 0) {
         return;
     }
-    const auto step = static_cast<std::int64_t>(stableHash(m_name + "/" + name) % claimSteps);
-    const auto delay =
-        m_times.claimDelay * static_cast<std::int64_t>(held().size()) + m_times.claimDelay * step / static_cast<std::int64_t>(claimSteps);
-    shard.claimAt = now + delay;
-    m_timers.after(delay, [this, alive = m_alive, name, due = shard.claimAt] {
+    shard.claimFrom = now;
+    scheduleClaim(name);
+}
+
+/// When this entry may claim the shard, if nobody else does before.
+Millis Leases::claimTime(const std::string &name) const
+{
+    const auto busy = std::count_if(m_shards.begin(), m_shards.end(), [](const auto &it) { return it.second.held || it.second.claiming; });
+    // Half a delay and up to another half, so that an entry with half the delay and no shard comes first.
+    const auto step = static_cast<std::int64_t>(claimSteps + stableHash(m_name + "/" + name) % claimSteps);
+    const auto delay = m_times.claimDelay * busy + m_times.claimDelay * step / static_cast<std::int64_t>(2 * claimSteps);
+    return m_shards.at(name).claimFrom + delay;
+}
+
+void Leases::scheduleClaim(const std::string &name)
+{
+    auto &shard = m_shards[name];
+    shard.claimAt = claimTime(name);
+    m_timers.after(shard.claimAt - m_clock.boot(), [this, alive = m_alive, name, due = shard.claimAt] {
         if (!*alive) {
             return;
         }
         auto &it = m_shards[name];
-        if (it.claimAt == due && !it.held && !it.claiming && !m_stopping && it.wanted) {
-            claim(name);
+        if (it.claimAt != due || it.held || it.claiming || m_stopping || !it.wanted) {
+            return;
+        }
+        // Another shard may have been claimed meanwhile.
+        if (claimTime(name) > m_clock.boot()) {
+            return scheduleClaim(name);
         }
+        claim(name);
     });
 }
 
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -31,7 +31,8 @@
     /// then. Longer than an ordinary outage of the store, during which nobody can claim.
     Millis silence{9'000};
     Millis callTimeout{1'500};
-    /// Delay of a claim for each shard already held, so that shards spread.
+    /// Delay of a claim for each shard already held, so that shards spread. Longer on slow VMs, so that fast ones come first:
+    /// an owner's work does not shrink with its VM.
     Millis claimDelay{150};
 };
 
@@ -103,6 +104,7 @@
         Millis renewSentAt;
         // As a candidate:
         bool claiming = false;
+        Millis claimFrom; ///< boot clock: since when the shard has had no owner, as far as seen
         Millis claimAt;
         std::string claimNonce;
     };
@@ -113,6 +115,8 @@
     void onClaimRow(const Row &row);
     void onRenewalRow(const Row &row);
     void consider(const std::string &name, Shard &shard);
+    Millis claimTime(const std::string &name) const;
+    void scheduleClaim(const std::string &name);
     void claim(const std::string &name);
     void onClaimed(const std::string &name, const std::string &nonce, bool handedOver, const CommitResult &result);
     void renew(const std::string &name);
