Ask for VMs by the time that jobs have left, not by one fixed time

Change: the need of each job is its work over half of the time left until its objective, 0.6 s at least.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -662,8 +662,12 @@
             continue;
         }
         if (!isLongRunning(job->spec) && job->spec.times == 0) {
-            const auto prospect = prospectOf(waitingOf(*job, 0, now - job->submittedAt));
-            (prospect == Prospect::InTime ? report.backlog : report.lateBacklog) += remainingWork(*job);
+            const auto waiting = waitingOf(*job, 0, now - job->submittedAt);
+            if (prospectOf(waiting) == Prospect::InTime) {
+                report.urgentCpu += cpuForObjective(remainingWork(*job), waiting.objective - waiting.age);
+            } else {
+                report.lateBacklog += remainingWork(*job);
+            }
         }
         for (const auto &step : job->spec.steps) {
             if (!step.longRunning) {
--- a/src/scheduling/order.cpp
+++ b/src/scheduling/order.cpp
@@ -49,6 +49,14 @@
     return job.age + job.remainingChain <= job.objective * lateObjectiveFactor ? Prospect::Late : Prospect::Worthless;
 }
 
+/// Less time than this is not planned with: a VM needs longer to join.
+constexpr Millis shortestPlan{600};
+
+std::int64_t cpuForObjective(std::int64_t workCoreMs, Millis untilObjective)
+{
+    return workCoreMs * 1000 / std::max(untilObjective / 2, shortestPlan).count;
+}
+
 bool comesBefore(const Waiting &a, const Waiting &b)
 {
     const auto rank = [](const Waiting &job) {
--- a/src/scheduling/order.hpp
+++ b/src/scheduling/order.hpp
@@ -42,6 +42,11 @@
 
 Prospect prospectOf(const Waiting &job);
 
+/// CPU in thousandths of a core that does the rest of a job early enough for its objective: half of the time that is left is
+/// kept for queueing and for VMs that have yet to join. Answers queues with objectives of different length: a pool of long
+/// jobs must not draw all VMs while one of short jobs is in its surge.
+std::int64_t cpuForObjective(std::int64_t workCoreMs, Millis untilObjective);
+
 /// True when `a` gets workers before `b`. Answers a surge of several times the pool's capacity: jobs that can still meet
 /// their objective go first, the ones with the least work left first among them, since each is worth about the same to
 /// its caller; jobs that are late for certain use what is left, oldest first.
--- a/src/upkeep/moves.cpp
+++ b/src/upkeep/moves.cpp
@@ -24,7 +24,7 @@
     }
     const auto rise = std::max<std::int64_t>(pool.report.arrivingCpu - pool.report.arrivedBeforeCpu, 0);
     const auto arriving = pool.report.arrivingCpu + rise * settings.trendPercent / 100;
-    const auto backlog = pool.report.backlog * 1000 / settings.drainMs + pool.report.lateBacklog * 1000 / settings.lateDrainMs;
+    const auto backlog = pool.report.urgentCpu + pool.report.lateBacklog * 1000 / settings.lateDrainMs;
     const auto work = std::max({arriving, backlog, pool.expectedCpu});
     const auto cpu = pool.report.lastingCpu + work * (100 + settings.headroomPercent) / 100;
     return std::max(static_cast<int>((cpu + vmCpu - 1) / vmCpu), least) + pool.report.lastingWaiting;
--- a/src/upkeep/moves.hpp
+++ b/src/upkeep/moves.hpp
@@ -13,9 +13,7 @@
 {
 
 struct MoveSettings {
-    /// A pool's backlog should be done within this time; about the slack that the objectives of short jobs leave.
-    std::int64_t drainMs = 1'200;
-    /// The same for jobs that are late already.
+    /// Work of jobs that are late already should be done within this time.
     std::int64_t lateDrainMs = 5'000;
     /// Room kept above the expected need, in percent. A VM that idles for a second costs about a fifteenth of what its
     /// work is worth when it is lacking.
--- a/src/upkeep/poolreport.cpp
+++ b/src/upkeep/poolreport.cpp
@@ -18,7 +18,7 @@
                     {"vms", std::move(vms)},
                     {"arriving_cpu", report.arrivingCpu},
                     {"arrived_before_cpu", report.arrivedBeforeCpu},
-                    {"backlog", report.backlog},
+                    {"urgent_cpu", report.urgentCpu},
                     {"late_backlog", report.lateBacklog},
                     {"lasting_cpu", report.lastingCpu},
                     {"lasting_vms", report.lastingVms},
@@ -37,7 +37,7 @@
         }
         report.arrivingCpu = json.at("arriving_cpu").get<std::int64_t>();
         report.arrivedBeforeCpu = json.at("arrived_before_cpu").get<std::int64_t>();
-        report.backlog = json.at("backlog").get<std::int64_t>();
+        report.urgentCpu = json.at("urgent_cpu").get<std::int64_t>();
         report.lateBacklog = json.at("late_backlog").get<std::int64_t>();
         report.lastingCpu = json.at("lasting_cpu").get<std::int64_t>();
         report.lastingVms = json.at("lasting_vms").get<int>();
--- a/src/upkeep/poolreport.hpp
+++ b/src/upkeep/poolreport.hpp
@@ -30,9 +30,9 @@
     std::int64_t arrivingCpu = 0;
     /// The same a little earlier, to see whether demand rises.
     std::int64_t arrivedBeforeCpu = 0;
-    /// Work that is queued or running of jobs that can meet their objective, in core-milliseconds.
-    std::int64_t backlog = 0;
-    /// The same of jobs that are late for certain.
+    /// CPU that the jobs which can meet their objective need for it, in thousandths of a core.
+    std::int64_t urgentCpu = 0;
+    /// Work that is queued or running of jobs that are late for certain, in core-milliseconds.
     std::int64_t lateBacklog = 0;
     /// CPU that subtasks that last hold or wait for, in thousandths of a core.
     std::int64_t lastingCpu = 0;
--- a/tests/unit/scheduling_test.cpp
+++ b/tests/unit/scheduling_test.cpp
@@ -153,12 +153,20 @@
 {
     // Guards against a pool that takes the VMs of the next surge for jobs that have lost their value.
     auto pool = makePool(4, 0, "p");
-    pool.report.backlog = 600'000;
+    pool.report.urgentCpu = cpuForObjective(600'000, {2'400});
     const int inTime = neededVms(pool, {});
-    std::swap(pool.report.backlog, pool.report.lateBacklog);
+    pool.report.urgentCpu = 0;
+    pool.report.lateBacklog = 600'000;
     CHECK(neededVms(pool, {}) < inTime / 2);
 }
 
+TEST_CASE("work with a long objective asks for fewer VMs than the same work with a short one")
+{
+    // Guards against a pool of long jobs that draws all VMs while the surge of a pool of short jobs begins.
+    CHECK(cpuForObjective(600'000, {6'000}) * 2 < cpuForObjective(600'000, {2'400}) + 1);
+    CHECK(cpuForObjective(600'000, {10}) <= 1'000'000);
+}
+
 static WaveProgress makeWave(int vms, int maxAtOnce)
 {
     WaveProgress progress;
