Let idle and faster entries ask for shards

Change: claims name the processor of their holder; once a second an entry asks the owner that has less than about half of its processor for a shard, and the owner releases it for that entry. First claims of a new fleet wait longer.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,6 +34,7 @@
 constexpr long connectionsPerWorker = 3;
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view reportPath = "/pools/report";
+constexpr std::string_view shardPath = "/shards/wanted";
 
 namespace
 {
@@ -57,6 +58,9 @@
                  const std::string &pool,
                  const std::set<std::string> &keepEmpty,
                  std::function<void(std::optional<PoolReport>)> done);
+    void askForShard(const std::string &address, const std::string &shard, int held);
+    HttpResponse onReportWanted(const nlohmann::json &question);
+    HttpResponse onShardWanted(const nlohmann::json &question);
     std::string unavailable() const;
     void reload();
     void onStop();
@@ -124,7 +128,8 @@
                               const std::set<std::string> &keepEmpty,
                               std::function<void(std::optional<PoolReport>)> done) {
                 askPeer(address, pool, keepEmpty, std::move(done));
-            }};
+            },
+            .askForShard = [this](const std::string &address, const std::string &shard, int held) { askForShard(address, shard, held); }};
 }
 
 Intake::Ports Node::intakePorts()
@@ -244,23 +249,52 @@
     });
 }
 
+void Node::askForShard(const std::string &address, const std::string &shard, int held)
+{
+    TargetRequest request{.address = address, .method = "POST", .path = std::string(shardPath), .timeout = peerTimeout};
+    const auto cpu = m_settings.cpuShare * m_settings.cpuSpeed;
+    request.body = Json{{"shard", shard}, {"entry", m_settings.name}, {"cpu", cpu}, {"held", held}}.dump();
+    m_peerHttp.send(std::move(request), [shard, address](const TargetResult &answer) {
+        // The claim row tells whether it is ours; a refusal is the owner's decision.
+        if (answer.outcome != TargetOutcome::Answered) {
+            logEvent(LogLevel::Info, "shard_not_asked_for", {{"shard", shard}, {"owner", address}, {"error", answer.error}});
+        }
+    });
+}
+
 void Node::onPeer(const HttpRequest &request, const HttpResponder &respond)
 {
     const auto json = Json::parse(request.body, nullptr, false);
-    if (request.method != "POST" || request.path != reportPath || !json.is_object()) {
+    if (request.method != "POST" || !json.is_object()) {
         return respond({.status = 404});
     }
+    try {
+        if (request.path == reportPath) {
+            return respond(onReportWanted(json));
+        }
+        respond(request.path == shardPath ? onShardWanted(json) : HttpResponse{.status = 404});
+    } catch (const Json::type_error &ec) {
+        respond({.status = 400, .body = ec.what()});
+    }
+}
+
+HttpResponse Node::onReportWanted(const Json &question)
+{
     std::set<std::string> keepEmpty;
-    for (const auto &it : json.value("keep_empty", Json::array())) {
+    for (const auto &it : question.value("keep_empty", Json::array())) {
         if (it.is_string()) {
             keepEmpty.insert(it.get<std::string>());
         }
     }
-    const auto report = m_host.report(json.value("pool", ""), keepEmpty);
-    if (!report) {
-        return respond({.status = 503});
-    }
-    respond({.status = 200, .body = encodeReport(*report)});
+    const auto report = m_host.report(question.value("pool", ""), keepEmpty);
+    return report ? HttpResponse{.status = 200, .body = encodeReport(*report)} : HttpResponse{.status = 503};
+}
+
+HttpResponse Node::onShardWanted(const Json &question)
+{
+    const bool given =
+        m_host.onShardWanted(question.value("shard", ""), question.value("entry", ""), question.value("cpu", 0.0), question.value("held", 0));
+    return {.status = given ? 200 : 409};
 }
 
 void Node::onMetrics(const HttpRequest &request, const HttpResponder &respond) const
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -18,10 +18,19 @@
 /// Holds a second that a whole core sends with half of its time, at about 0.15 ms each.
 constexpr double holdsOfCore = 3'200;
 
+/// Shards are compared this often; a shard stays with an owner for at least `shardRest`, so that each hand-over pays.
+constexpr Millis balanceEvery{1'000};
+constexpr Millis shardRest{3'000};
+
+static double cpuOf(const EntrySettings &settings)
+{
+    return settings.cpuShare * settings.cpuSpeed;
+}
+
 static LeaseTimes leaseTimes(const EntrySettings &settings)
 {
     LeaseTimes times;
-    times.claimDelay = {static_cast<std::int64_t>(claimDelayOfCore / (settings.cpuShare * settings.cpuSpeed))};
+    times.claimDelay = {static_cast<std::int64_t>(claimDelayOfCore / cpuOf(settings))};
     return times;
 }
 
@@ -40,12 +49,17 @@
         const auto it = m_pools.find(shard);
         return it != m_pools.end() ? it->second->status() : std::string();
     };
-    m_leases = std::make_unique<Leases>(
-        m_ports.store, m_ports.timers, m_ports.clock, m_settings.name, m_settings.peerAddress, leaseTimes(m_settings), std::move(callbacks));
+    m_leases = std::make_unique<Leases>(m_ports.store,
+                                        m_ports.timers,
+                                        m_ports.clock,
+                                        LeaseHolder{m_settings.name, m_settings.peerAddress, cpuOf(m_settings)},
+                                        leaseTimes(m_settings),
+                                        std::move(callbacks));
 }
 
 ShardHost::~ShardHost()
 {
+    *m_alive = false;
     m_pools.clear();
     m_fleet.reset();
 }
@@ -53,10 +67,44 @@
 void ShardHost::start()
 {
     m_leases->start();
+    balance();
+}
+
+void ShardHost::balance()
+{
+    const auto now = m_ports.clock.boot();
+    // Without the store this entry does not know who owns what and could not claim.
+    if (!m_stopping && m_ports.askForShard && now - m_leases->lastAnswerAt() < balanceEvery) {
+        const auto others = m_leases->heldByOthers();
+        const int held = static_cast<int>(m_leases->held().size());
+        if (const auto shard = shardToAskFor(cpuOf(m_settings), held, others)) {
+            m_ports.askForShard(others.at(*shard).address, *shard, held);
+        }
+    }
+    m_ports.timers.after(balanceEvery, [this, alive = m_alive] {
+        if (*alive) {
+            balance();
+        }
+    });
+}
+
+bool ShardHost::onShardWanted(const std::string &shard, const std::string &entry, double cpu, int held)
+{
+    const auto acquired = m_acquiredAt.find(shard);
+    if (m_stopping || !m_leases->isSoleOwner(shard) || acquired == m_acquiredAt.end()
+        || m_ports.clock.boot() - acquired->second < shardRest) {
+        return false;
+    }
+    if (!shouldHandOver(cpuOf(m_settings), static_cast<int>(m_leases->held().size()), cpu, held)) {
+        return false;
+    }
+    m_leases->handOver(shard, entry);
+    return true;
 }
 
 void ShardHost::stop(std::function<void()> done)
 {
+    m_stopping = true;
     m_leases->stop(std::move(done));
 }
 
@@ -129,7 +177,7 @@
     // A former owner that lapsed has lent nothing beyond its silence, of which we have seen the lapse.
     times.formerLease = (handedOver ? times.lease : lease.silence - lease.lapse) + formerLeaseMargin;
     PoolOwnerTimes ownTimes;
-    ownTimes.holdsPerSecond = holdsOfCore * m_settings.cpuShare * m_settings.cpuSpeed;
+    ownTimes.holdsPerSecond = holdsOfCore * cpuOf(m_settings);
     ownTimes.jobRetention = m_settings.jobStatus + m_settings.jobStatus / 2;
     PoolOwner::Ports ports{
         .store = m_ports.store,
@@ -173,6 +221,7 @@
 
 void ShardHost::onAcquired(const std::string &shard, std::uint64_t fence, bool handedOver)
 {
+    m_acquiredAt[shard] = m_ports.clock.boot();
     if (shard == fleetShard) {
         m_fleet = makeFleetOwner(fence);
         return m_fleet->start();
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -43,6 +43,8 @@
                            const std::set<std::string> &keepEmpty,
                            std::function<void(std::optional<PoolReport>)>)>
             askPeer;
+        /// Asks the entry at this peer address to hand a shard over to us, who hold `held` shards.
+        std::function<void(const std::string &address, const std::string &shard, int held)> askForShard;
     };
 
     ShardHost(const EntrySettings &settings, Ports ports);
@@ -61,6 +63,8 @@
     }
     /// The report of a pool that this entry owns; nothing for others.
     std::optional<PoolReport> report(const std::string &pool, const std::set<std::string> &keepEmpty);
+    /// Another entry asks for a shard. Returns whether it is handed over.
+    bool onShardWanted(const std::string &shard, const std::string &entry, double cpu, int held);
     /// Queued jobs as the pool's owner last published; negative when not known.
     int queuedJobs(const Queue &queue) const;
     /// What a pool's owner last published of its load; nothing when not known.
@@ -74,6 +78,8 @@
 
 private:
     void updateShards();
+    /// Asks for a shard of a busier entry from time to time.
+    void balance();
     void onAcquired(const std::string &shard, std::uint64_t fence, bool handedOver);
     void onLost(const std::string &shard);
     std::unique_ptr<PoolOwner> makePoolOwner(const std::string &pool, std::uint64_t fence, bool handedOver);
@@ -88,6 +94,10 @@
     std::map<std::int64_t, Wave> m_waves;
     std::unique_ptr<WorkerDirectory> m_directory;
     std::unique_ptr<Leases> m_leases;
+    /// Boot clock: when each shard was acquired.
+    std::map<std::string, Millis> m_acquiredAt;
+    bool m_stopping = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::map<std::string, std::unique_ptr<PoolOwner>> m_pools;
     std::unique_ptr<FleetOwner> m_fleet;
 };
--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -20,13 +20,14 @@
 constexpr Millis shardsPause{30};
 /// Candidates spread their claims over this many steps of a tenth of the claim delay.
 constexpr std::uint64_t claimSteps = 10;
+/// Entries of a new fleet start within some 0.2 s, and nothing waits for them yet.
+constexpr std::int64_t firstClaimFactor = 4;
 
-Leases::Leases(StorePort store, TimerPort timers, Clock clock, std::string name, std::string address, LeaseTimes times, Callbacks callbacks)
+Leases::Leases(StorePort store, TimerPort timers, Clock clock, LeaseHolder self, LeaseTimes times, Callbacks callbacks)
     : m_store(std::move(store))
     , m_timers(std::move(timers))
     , m_clock(std::move(clock))
-    , m_name(std::move(name))
-    , m_address(std::move(address))
+    , m_self(std::move(self))
     , m_times(times)
     , m_callbacks(std::move(callbacks))
 {
@@ -53,7 +54,7 @@
         if (!shards.contains(name)) {
             shard.wanted = false;
             if (shard.held) {
-                release(name, [] {});
+                release(name, "", [] {});
             }
         }
     }
@@ -230,6 +231,8 @@
     shard.nonce = nonce;
     shard.owner.holder = json.value("holder", "");
     shard.owner.address = json.value("address", "");
+    shard.owner.cpu = json.value("cpu", 0.0);
+    shard.owner.heir = json.value("heir", "");
     shard.owner.fence = row.version;
     shard.owner.changedAt = m_clock.boot();
     shard.claimAt = {};
@@ -261,7 +264,8 @@
     }
     const auto now = m_clock.boot();
     // A claim in our name that we did not make is that of the process before us on this VM.
-    const bool abandoned = !shard.known || shard.owner.holder.empty() || shard.owner.holder == m_name;
+    const bool forOther = shard.owner.holder.empty() && !shard.owner.heir.empty() && shard.owner.heir != m_self.name;
+    const bool abandoned = !shard.known || (shard.owner.holder.empty() && !forOther) || shard.owner.holder == m_self.name;
     if (!abandoned && now - shard.owner.changedAt < m_times.lapse) {
         shard.claimAt = {};
         return;
@@ -277,14 +281,14 @@
 Millis Leases::claimTime(const std::string &name) const
 {
     const auto &shard = m_shards.at(name);
-    if (shard.known && shard.owner.holder == m_name) {
-        return shard.claimFrom; // Nobody else claims it before the claim of the process before us has lapsed.
+    if (shard.known && (shard.owner.holder == m_self.name || shard.owner.heir == m_self.name)) {
+        return shard.claimFrom; // Nobody else claims it yet.
     }
     const auto busy = std::count_if(m_shards.begin(), m_shards.end(), [](const auto &it) { return it.second.held || it.second.claiming; });
     // Half a delay and up to another half, so that an entry with half the delay and no shard comes first.
-    const auto step = static_cast<std::int64_t>(claimSteps + stableHash(m_name + "/" + name) % claimSteps);
+    const auto step = static_cast<std::int64_t>(claimSteps + stableHash(m_self.name + "/" + name) % claimSteps);
     const auto delay = m_times.claimDelay * busy + m_times.claimDelay * step / static_cast<std::int64_t>(2 * claimSteps);
-    return shard.claimFrom + delay;
+    return shard.claimFrom + (shard.known ? delay : delay * firstClaimFactor);
 }
 
 void Leases::scheduleClaim(const std::string &name)
@@ -313,7 +317,7 @@
     shard.claiming = true;
     shard.claimNonce = randomId();
     const bool handedOver = !shard.known || shard.owner.holder.empty();
-    const Json json{{"holder", m_name}, {"address", m_address}, {"nonce", shard.claimNonce}};
+    const Json json{{"holder", m_self.name}, {"address", m_self.address}, {"cpu", m_self.cpu}, {"nonce", shard.claimNonce}};
     RowTransaction tx;
     tx.conditions.push_back({{claimTable, name, rowName}, shard.claimVersion});
     tx.puts.push_back({{claimTable, name, rowName}, json.dump()});
@@ -350,7 +354,7 @@
     shard.nonce = nonce;
     shard.claimVersion = result.version;
     shard.renewedAt = shard.renewSentAt;
-    shard.owner = {m_name, m_address, result.version, "", m_clock.boot()};
+    shard.owner = {m_self.name, m_self.address, m_self.cpu, "", result.version, "", m_clock.boot()};
     logEvent(LogLevel::Info, "shard_acquired", {{"shard", name}, {"fence", result.version}, {"handed_over", handedOver}});
     m_callbacks.acquired(name, result.version, handedOver);
     renew(name);
@@ -420,7 +424,7 @@
     m_callbacks.lost(shard);
 }
 
-void Leases::release(const std::string &name, std::function<void()> done)
+void Leases::release(const std::string &name, const std::string &heir, std::function<void()> done)
 {
     auto &shard = m_shards[name];
     if (!shard.held) {
@@ -428,7 +432,7 @@
     }
     RowTransaction tx;
     tx.conditions.push_back(condition(name));
-    const Json json{{"holder", ""}, {"address", ""}, {"nonce", randomId()}};
+    const Json json{{"holder", ""}, {"address", ""}, {"heir", heir}, {"nonce", randomId()}};
     tx.puts.push_back({{claimTable, name, rowName}, json.dump()});
     loseShard(name, "released");
     m_store.commit(std::move(tx), m_times.callTimeout, [name, done = std::move(done)](const CommitResult &result) {
@@ -437,6 +441,26 @@
     });
 }
 
+std::map<std::string, HeldShard> Leases::heldByOthers() const
+{
+    std::map<std::string, HeldShard> shards;
+    const auto now = m_clock.boot();
+    for (const auto &[name, shard] : m_shards) {
+        const auto &owner = shard.owner;
+        if (shard.wanted && shard.known && !shard.held && !owner.holder.empty() && owner.holder != m_self.name
+            && now - owner.changedAt < m_times.lapse) {
+            shards[name] = {owner.holder, owner.address, owner.cpu};
+        }
+    }
+    return shards;
+}
+
+void Leases::handOver(const std::string &shard, const std::string &heir)
+{
+    logEvent(LogLevel::Info, "shard_handed_over", {{"shard", shard}, {"to", heir}});
+    release(shard, heir, [] {});
+}
+
 void Leases::stop(std::function<void()> done)
 {
     m_stopping = true;
@@ -446,7 +470,7 @@
         return done();
     }
     for (const auto &it : names) {
-        release(it, [left, done] {
+        release(it, "", [left, done] {
             if (--*left == 0) {
                 done();
             }
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -6,6 +6,7 @@
 
 #include "ports/store.hpp"
 #include "ports/timer.hpp"
+#include "shards/balance.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -40,6 +41,9 @@
 struct ShardOwnerInfo {
     std::string holder; ///< name of the entry; empty for a shard that was released
     std::string address; ///< peer address of the entry
+    double cpu = 0; ///< processor of the entry in cores
+    /// Entry that a released shard is meant for; empty for anyone.
+    std::string heir;
     std::uint64_t fence = 0;
     /// Published by the owner with each renewal.
     std::string status;
@@ -47,6 +51,13 @@
     Millis changedAt;
 };
 
+/// This entry as its claims show it.
+struct LeaseHolder {
+    std::string name;
+    std::string address; ///< peer address
+    double cpu = 0; ///< processor in cores
+};
+
 class Leases
 {
 public:
@@ -58,7 +69,7 @@
         std::function<std::string(const std::string &shard)> status;
     };
 
-    Leases(StorePort store, TimerPort timers, Clock clock, std::string name, std::string address, LeaseTimes times, Callbacks callbacks);
+    Leases(StorePort store, TimerPort timers, Clock clock, LeaseHolder self, LeaseTimes times, Callbacks callbacks);
     ~Leases();
 
     void start();
@@ -79,6 +90,10 @@
     /// Releases every shard and claims none any more; `done` runs when the store has answered or given up.
     void stop(std::function<void()> done);
     std::set<std::string> held() const;
+    /// Shards of other entries that renew them.
+    std::map<std::string, HeldShard> heldByOthers() const;
+    /// Releases a shard of ours for the entry `heir`; others claim it only when the heir does not.
+    void handOver(const std::string &shard, const std::string &heir);
     /// Boot clock: when the store last answered a poll.
     Millis lastAnswerAt() const
     {
@@ -121,13 +136,12 @@
     void claim(const std::string &name);
     void onClaimed(const std::string &name, const std::string &nonce, bool handedOver, const CommitResult &result);
     void renew(const std::string &name);
-    void release(const std::string &name, std::function<void()> done);
+    void release(const std::string &name, const std::string &heir, std::function<void()> done);
 
     StorePort m_store;
     TimerPort m_timers;
     Clock m_clock;
-    std::string m_name;
-    std::string m_address;
+    LeaseHolder m_self;
     LeaseTimes m_times;
     Callbacks m_callbacks;
     std::map<std::string, Shard> m_shards;
