Serve all ready descriptors before timers run

A late owner gave up holds by their time-out although the answers had arrived, counted the workers as unheard and started again what had ended there. Change: up to 256 ready descriptors are served before the timers.

--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr Millis longestWait{200};
+/// Descriptors served before the timers have their turn.
+constexpr int maxEventsPerRound = 256;
 
 volatile std::sig_atomic_t pendingSignals = 0;
 volatile std::sig_atomic_t lastSignal = 0;
@@ -218,7 +220,11 @@
         // ACE's own timer queue reads the wall clock, which may jump, so timers are kept here.
         const auto wait = untilNextTimer();
         ACE_Time_Value timeout(wait.count / 1000, static_cast<suseconds_t>(wait.count % 1000 * 1000));
-        m_reactor->reactor.handle_events(&timeout);
+        // The reactor serves one descriptor a call. All ready ones are served before timers run: a late process would otherwise
+        // give up calls whose answers have arrived.
+        for (int n = 0; n < maxEventsPerRound && m_reactor->reactor.handle_events(&timeout) > 0; ++n) {
+            timeout = ACE_Time_Value::zero;
+        }
         dispatchSignals();
         runDueTimers();
     }
