Plan more moves at one time in large fleets

Cause: 24 moves at one time let a pool of the grown site grow by some 60 to 100 VMs a second, while its surge needs 150. Change: the limit is 24 or a quarter of the fleet's VMs. Fleets below 96 VMs plan as before.

--- a/src/upkeep/fleetowner.cpp
+++ b/src/upkeep/fleetowner.cpp
@@ -248,7 +248,8 @@
 void FleetOwner::planMovesNow()
 {
     const auto now = m_ports.clock.boot();
-    const MoveSettings settings;
+    MoveSettings settings;
+    settings.maxMoves = std::max(settings.maxMoves, static_cast<int>(m_fleet.vms.size()) / settings.moveShare);
     FleetDemand fleet;
     for (const auto &[vm, listed] : m_fleet.vms) {
         const bool free = listed.state == VmState::Up && !m_moving.contains(vm);
--- a/src/upkeep/moves.hpp
+++ b/src/upkeep/moves.hpp
@@ -22,8 +22,9 @@
     std::int64_t trendPercent = 150;
     /// VMs that a pool keeps beyond those that its lasting subtasks need.
     int spareVms = 1;
-    /// Moves that may be under way at one time.
+    /// Moves that may be planned at one time: this many, or one in `moveShare` of the fleet's VMs.
     int maxMoves = 24;
+    int moveShare = 4;
 };
 
 /// A pool as the plan sees it.
