--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -126,10 +126,11 @@
             .askPeer = [this](const std::string &address,
                               const std::string &pool,
                               const std::set<std::string> &keepEmpty,
-                              std::function<void(std::optional<PoolReport>)> done) {
-                askPeer(address, pool, keepEmpty, std::move(done));
-            },
-            .askForShard = [this](const std::string &address, const std::string &shard, int held) { askForShard(address, shard, held); }};
+                              std::function<void(std::optional<PoolReport>)> done) { askPeer(address, pool, keepEmpty, std::move(done)); },
+            .askForShard =
+                [this](const std::string &address, const std::string &shard, int held) {
+                    askForShard(address, shard, held);
+                }};
 }
 
 Intake::Ports Node::intakePorts()
@@ -292,8 +293,8 @@
 
 HttpResponse Node::onShardWanted(const Json &question)
 {
-    const bool given =
-        m_host.onShardWanted(question.value("shard", ""), question.value("entry", ""), question.value("cpu", 0.0), question.value("held", 0));
+    const bool given = m_host.onShardWanted(
+        question.value("shard", ""), question.value("entry", ""), question.value("cpu", 0.0), question.value("held", 0));
     return {.status = given ? 200 : 409};
 }
 
