--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -36,6 +36,16 @@
     reloadWanted = 1;
 }
 
+/// Runs a callback. An exception ends that callback only, so that one unexpected input does not end the process.
+void guarded(std::string_view source, const std::function<void()> &fn)
+{
+    try {
+        fn();
+    } catch (const std::exception &ec) {
+        logEvent(LogLevel::Error, "unexpected_error", {{"source", source}, {"error", ec.what()}});
+    }
+}
+
 } // namespace
 
 struct EventLoop::Reactor {
@@ -66,7 +76,7 @@
     {
         // The callback may unwatch its own descriptor.
         if (const auto keep = callback; keep) {
-            keep(ready);
+            guarded("descriptor", [&] { keep(ready); });
         }
         return 0;
     }
@@ -209,7 +219,7 @@
         m_timers.erase(m_timers.begin());
     }
     for (auto &fn : due) {
-        fn();
+        guarded("timer", fn);
     }
 }
 
--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -1,6 +1,8 @@
 // HTTP server by libmicrohttpd. Connections are suspended while their request is being handled.
 #include "adapters/httpserver.hpp"
 
+#include "helpers/log.hpp"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -142,7 +144,13 @@
             scheduleRun();
         }
     };
-    handler(std::move(exchange->request), std::move(respond));
+    // An exception must not pass through the frames of libmicrohttpd.
+    try {
+        handler(std::move(exchange->request), respond);
+    } catch (const std::exception &ec) {
+        logEvent(LogLevel::Error, "unexpected_error", {{"source", "request"}, {"error", ec.what()}});
+        respond({.status = 500});
+    }
     if (!exchange->response) {
         exchange->suspended = true;
         suspended.insert(exchange->connection);
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -1,13 +1,14 @@
 // Encodes and decodes stored jobs and their progress. The position of each array element is part of the stored format.
 #include "jobs/codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "helpers/json.hpp"
+#include "jobs/check.hpp"
+
+#include <algorithm>
 
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 JobRecord emptyRecord(const JobSpec &spec)
 {
     JobRecord record;
@@ -49,22 +50,24 @@
 static StepSpec decodeStep(const Json &json)
 {
     StepSpec step;
-    step.count = json.at(0).get<int>();
-    step.need = {json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(), json.at(3).get<std::int64_t>()};
-    step.estimate = {json.at(4).get<std::int64_t>()};
-    step.after = json.at(5).get<std::vector<int>>();
+    step.count = toInt(json.at(0));
+    step.need = {toNumber(json.at(1)), toNumber(json.at(2)), toNumber(json.at(3))};
+    step.estimate = {toNumber(json.at(4))};
+    for (const auto &it : json.at(5)) {
+        step.after.push_back(toInt(it, -1));
+    }
     step.checkpointing = json.at(6).get<bool>();
     step.gang = json.at(7).get<bool>();
     step.sameRack = json.at(8).get<bool>();
     step.requiredLabel = json.at(9).get<std::string>();
     step.preferredRack = json.at(10).get<std::string>();
-    step.maxPerWorker = json.at(11).get<int>();
+    step.maxPerWorker = toInt(json.at(11));
     step.speculativeExecution = json.at(12).get<bool>();
     step.longRunning = json.at(13).get<bool>();
     step.image = json.at(14).get<std::string>();
-    step.tailLatencyTarget = {json.at(15).get<std::int64_t>()};
+    step.tailLatencyTarget = {toNumber(json.at(15))};
     step.usesSpareCpu = json.at(16).get<bool>();
-    step.maxUnavailable = json.at(17).get<int>();
+    step.maxUnavailable = toInt(json.at(17));
     return step;
 }
 
@@ -91,6 +94,15 @@
                              policy.adviceTimePerWorker.count}));
 }
 
+static bool isValid(const QueuePolicy &policy)
+{
+    const auto isDuration = [](Millis it) {
+        return it >= Millis{0} && it <= maxDuration;
+    };
+    return policy.maxAttempts >= 1 && policy.stretch >= 0 && policy.stretch <= maxStretch && isDuration(policy.latencyTarget)
+           && isDuration(policy.adviceTime) && isDuration(policy.adviceTimePerWorker);
+}
+
 std::optional<JobSpec> decodeSpec(std::string_view id, std::string_view text)
 {
     try {
@@ -99,17 +111,20 @@
         for (const auto &it : json.at(2)) {
             spec.steps.push_back(decodeStep(it));
         }
-        spec.times = json.at(3).get<int>();
-        spec.startAt = {json.at(4).get<std::int64_t>()};
-        spec.interval = {json.at(5).get<std::int64_t>()};
-        spec.policy.priority = json.at(6).get<int>();
-        spec.policy.maxAttempts = json.at(7).get<int>();
+        spec.times = toInt(json.at(3));
+        spec.startAt = {toNumber(json.at(4))};
+        spec.interval = {toNumber(json.at(5))};
+        spec.policy.priority = toInt(json.at(6));
+        spec.policy.maxAttempts = toInt(json.at(7));
         spec.policy.stretch = json.at(8).get<double>();
-        spec.policy.latencyTarget = {json.at(9).get<std::int64_t>()};
+        spec.policy.latencyTarget = {toNumber(json.at(9))};
         spec.policy.needsAdvice = json.at(10).get<bool>();
-        spec.acceptedAt = {json.at(11).get<std::int64_t>()};
-        spec.policy.adviceTime = {json.at(12).get<std::int64_t>()};
-        spec.policy.adviceTimePerWorker = {json.at(13).get<std::int64_t>()};
+        spec.acceptedAt = {toNumber(json.at(11))};
+        spec.policy.adviceTime = {toNumber(json.at(12))};
+        spec.policy.adviceTimePerWorker = {toNumber(json.at(13))};
+        if (!checkSpec(spec).ok() || !isValid(spec.policy)) {
+            return std::nullopt;
+        }
         return spec;
     } catch (const Json::exception &) {
         return std::nullopt;
@@ -136,15 +151,17 @@
 {
     SubtaskRecord subtask;
     if (json.is_number()) {
-        subtask.done = json.get<int>() == 1;
+        subtask.done = toInt(json) == 1;
         return subtask;
     }
-    subtask.done = json.at(0).get<int>() == 1;
-    subtask.failedRuns = json.at(1).get<std::vector<int>>();
-    subtask.lastRun = json.at(2).get<int>();
+    subtask.done = toInt(json.at(0)) == 1;
+    for (const auto &it : json.at(1)) {
+        subtask.failedRuns.push_back(toInt(it));
+    }
+    subtask.lastRun = std::max(toInt(json.at(2)), 0);
     subtask.checkpoint = json.at(3).get<std::string>();
     for (const auto &it : json.at(4)) {
-        subtask.runs.push_back({it.at(0).get<int>(), it.at(1).get<std::string>(), it.at(2).get<std::int64_t>()});
+        subtask.runs.push_back({toInt(it.at(0)), it.at(1).get<std::string>(), toNumber(it.at(2))});
     }
     return subtask;
 }
@@ -166,13 +183,26 @@
     return dump(Json::array({static_cast<int>(record.phase), record.endedAt.count, std::move(occurrences)}));
 }
 
+static std::optional<JobPhase> phaseOf(const Json &json)
+{
+    const auto phase = json.is_number_integer() ? toInt(json) : -1;
+    if (phase < static_cast<int>(JobPhase::Queued) || phase > static_cast<int>(JobPhase::Cancelled)) {
+        return std::nullopt;
+    }
+    return static_cast<JobPhase>(phase);
+}
+
 std::optional<JobRecord> decodeRecord(const JobSpec &spec, std::string_view text)
 {
     try {
         const auto json = Json::parse(text);
         auto record = emptyRecord(spec);
-        record.phase = static_cast<JobPhase>(json.at(0).get<int>());
-        record.endedAt = {json.at(1).get<std::int64_t>()};
+        const auto phase = phaseOf(json.at(0));
+        if (!phase) {
+            return std::nullopt;
+        }
+        record.phase = *phase;
+        record.endedAt = {toNumber(json.at(1))};
         for (std::size_t k = 0; k < record.occurrences.size(); ++k) {
             for (std::size_t step = 0; step < record.occurrences[k].size(); ++step) {
                 for (std::size_t i = 0; i < record.occurrences[k][step].size(); ++i) {
@@ -189,14 +219,7 @@
 std::optional<JobPhase> decodePhase(std::string_view text)
 {
     const auto json = Json::parse(text, nullptr, false);
-    if (!json.is_array() || json.empty() || !json[0].is_number_integer()) {
-        return std::nullopt;
-    }
-    const auto phase = json[0].get<int>();
-    if (phase < static_cast<int>(JobPhase::Queued) || phase > static_cast<int>(JobPhase::Cancelled)) {
-        return std::nullopt;
-    }
-    return static_cast<JobPhase>(phase);
+    return json.is_array() && !json.empty() ? phaseOf(json[0]) : std::nullopt;
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,7 @@
 #include "adapters/httpserver.hpp"
 #include "callers.hpp"
 #include "decode.hpp"
+#include "helpers/json.hpp"
 #include "helpers/log.hpp"
 #include "intake/intake.hpp"
 #include "node/metrics.hpp"
@@ -14,13 +15,9 @@
 #include "vms.hpp"
 #include "workers.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 /// The load balancer checks readiness once a second and removes an entry after two failed checks.
 constexpr Millis loadBalancerDelay{2'300};
 constexpr Millis stopPollInterval{50};
@@ -60,8 +57,8 @@
                            const std::set<std::string> &cordonedVms,
                            std::function<void(std::optional<PoolReport>)> done);
     void requestShard(const std::string &address, const std::string &shard, int held);
-    HttpResponse onReportRequest(const nlohmann::json &payload);
-    HttpResponse onShardRequest(const nlohmann::json &payload);
+    HttpResponse onReportRequest(const Json &payload);
+    HttpResponse onShardRequest(const Json &payload);
     std::string unavailableReason() const;
     void reload();
     void onStop();
@@ -268,36 +265,27 @@
 
 void Node::onPeer(const HttpRequest &request, const HttpResponder &respond)
 {
-    const auto json = Json::parse(request.body, nullptr, false);
+    const auto json = parseJson(request.body);
     if (request.method != "POST" || !json.is_object()) {
         return respond({.status = 404});
     }
-    try {
-        if (request.path == reportPath) {
-            return respond(onReportRequest(json));
-        }
-        respond(request.path == shardPath ? onShardRequest(json) : HttpResponse{.status = 404});
-    } catch (const Json::type_error &ec) {
-        respond({.status = 400, .body = ec.what()});
+    if (request.path == reportPath) {
+        return respond(onReportRequest(json));
     }
+    respond(request.path == shardPath ? onShardRequest(json) : HttpResponse{.status = 404});
 }
 
 HttpResponse Node::onReportRequest(const Json &payload)
 {
-    std::set<std::string> cordonedVms;
-    for (const auto &it : payload.value("keep_empty", Json::array())) {
-        if (it.is_string()) {
-            cordonedVms.insert(it.get<std::string>());
-        }
-    }
-    const auto report = m_host.report(payload.value("pool", ""), cordonedVms);
+    const auto names = textsOf(payload, "keep_empty");
+    const auto report = m_host.report(textOf(payload, "pool"), {names.begin(), names.end()});
     return report ? HttpResponse{.status = 200, .body = encodeReport(*report)} : HttpResponse{.status = 503};
 }
 
 HttpResponse Node::onShardRequest(const Json &payload)
 {
     const bool handedOver =
-        m_host.onShardRequest(payload.value("shard", ""), payload.value("entry", ""), payload.value("cpu", 0.0), payload.value("held", 0));
+        m_host.onShardRequest(textOf(payload, "shard"), textOf(payload, "entry"), realOf(payload, "cpu", 0), intOf(payload, "held"));
     return {.status = handedOver ? 200 : 409};
 }
 
--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -2,16 +2,14 @@
 #include "shards/leases.hpp"
 
 #include "helpers/ids.hpp"
+#include "helpers/json.hpp"
 #include "helpers/log.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 constexpr const char *rowName = "owner";
 /// Wait of the long poll on the claim feed; also bounds the time until a dead connection is detected.
 constexpr Millis claimFeedWait{4'000};
@@ -217,22 +215,22 @@
     if (row.version <= shard.claimVersion) {
         return;
     }
-    const auto json = Json::parse(row.value, nullptr, false);
+    const auto json = parseJson(row.value);
     if (!json.is_object()) {
         logEvent(LogLevel::Error, "claim_unreadable", {{"shard", row.key.part}, {"version", row.version}});
         return;
     }
-    const auto nonce = json.value("nonce", "");
+    const auto nonce = textOf(json, "nonce");
     if (shard.held && nonce != shard.nonce) {
-        loseShard(row.key.part, "claimed by entry " + json.value("holder", ""));
+        loseShard(row.key.part, "claimed by entry " + textOf(json, "holder"));
     }
     shard.known = true;
     shard.claimVersion = row.version;
     shard.nonce = nonce;
-    shard.owner.holder = json.value("holder", "");
-    shard.owner.address = json.value("address", "");
-    shard.owner.cpu = json.value("cpu", 0.0);
-    shard.owner.successor = json.value("heir", "");
+    shard.owner.holder = textOf(json, "holder");
+    shard.owner.address = textOf(json, "address");
+    shard.owner.cpu = realOf(json, "cpu", 0);
+    shard.owner.successor = textOf(json, "heir");
     shard.owner.fence = row.version;
     shard.owner.changedAt = m_clock.boot();
     shard.claimAt = {};
@@ -355,7 +353,8 @@
     shard.nonce = nonce;
     shard.claimVersion = result.version;
     shard.renewedAt = shard.claimSentAt;
-    shard.owner = {m_self.name, m_self.address, m_self.cpu, "", result.version, "", m_clock.boot()};
+    shard.owner = {
+        .holder = m_self.name, .address = m_self.address, .cpu = m_self.cpu, .fence = result.version, .changedAt = m_clock.boot()};
     logEvent(LogLevel::Info, "shard_acquired", {{"shard", name}, {"fence", result.version}, {"handed_over", handedOver}});
     m_callbacks.acquired(name, result.version, handedOver);
     renew(name);
--- a/src/shards/publishedload.cpp
+++ b/src/shards/publishedload.cpp
@@ -1,13 +1,11 @@
 // JSON encoding of published loads.
 #include "shards/publishedload.hpp"
 
-#include <nlohmann/json.hpp>
+#include "helpers/json.hpp"
 
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 std::string encodePublishedLoad(const PublishedLoad &load)
 {
     const Json json{{"queued", load.queuedByRoute},
@@ -24,12 +22,14 @@
     try {
         const auto json = Json::parse(text);
         PublishedLoad load;
-        load.queuedByRoute = json.at("queued").get<std::map<std::string, int>>();
-        load.capacityCpu = json.at("capacity_cpu").get<std::int64_t>();
-        load.usedCpu = json.at("used_cpu").get<std::int64_t>();
-        load.backlog = json.at("backlog").get<std::int64_t>();
-        load.workers = json.at("workers").get<int>();
-        load.runs = json.at("runs").get<int>();
+        for (const auto &[route, n] : json.at("queued").items()) {
+            load.queuedByRoute[route] = toInt(n);
+        }
+        load.capacityCpu = toNumber(json.at("capacity_cpu"));
+        load.usedCpu = toNumber(json.at("used_cpu"));
+        load.backlog = toNumber(json.at("backlog"));
+        load.workers = toInt(json.at("workers"));
+        load.runs = toInt(json.at("runs"));
         return load;
     } catch (const Json::exception &) {
         return std::nullopt;
--- a/src/upkeep/fleetowner.cpp
+++ b/src/upkeep/fleetowner.cpp
@@ -1,16 +1,14 @@
 // Carries out maintenance waves and moves of VMs.
 #include "upkeep/fleetowner.hpp"
 
+#include "helpers/json.hpp"
 #include "helpers/log.hpp"
 
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 constexpr const char *waveTable = "waves";
 constexpr Millis loadRetryDelay{300};
 /// Older reports are not used for planning.
@@ -54,16 +52,21 @@
             });
         }
         for (const auto &it : result.rows) {
-            const auto json = Json::parse(it.value, nullptr, false);
-            if (!json.is_object() || !json.contains("wave")) {
+            const auto json = parseJson(it.value);
+            const auto wave = json.is_object() ? numberOf(json, "wave") : 0;
+            if (wave <= 0) {
                 logEvent(LogLevel::Error, "wave_row_unreadable", {{"key", it.key.key}});
                 continue;
             }
-            auto &entry = m_waves[json["wave"].get<std::int64_t>()];
+            auto &entry = m_waves[wave];
             entry.version = it.version;
-            entry.progress.done = json.value("done", std::set<std::string>());
-            entry.progress.ordered = json.value("ordered", std::set<std::string>());
-            entry.progress.completed = json.value("completed", false);
+            for (auto &vm : textsOf(json, "done")) {
+                entry.progress.done.insert(std::move(vm));
+            }
+            for (auto &vm : textsOf(json, "ordered")) {
+                entry.progress.ordered.insert(std::move(vm));
+            }
+            entry.progress.completed = flagOf(json, "completed");
             entry.statusWritten = true;
         }
         m_loaded = true;
--- a/src/upkeep/poolreport.cpp
+++ b/src/upkeep/poolreport.cpp
@@ -1,13 +1,11 @@
 // JSON encoding of pool reports.
 #include "upkeep/poolreport.hpp"
 
-#include <nlohmann/json.hpp>
+#include "helpers/json.hpp"
 
 namespace hibiscusbridge::jobs
 {
 
-using Json = nlohmann::json;
-
 std::string encodeReport(const PoolReport &report)
 {
     Json vms = Json::object();
@@ -33,15 +31,15 @@
         PoolReport report;
         report.drained = json.at("empty").get<std::set<std::string>>();
         for (const auto &[vm, use] : json.at("vms").items()) {
-            report.vms[vm] = {use.at(0).get<int>(), use.at(1).get<int>(), use.at(2).get<std::int64_t>()};
+            report.vms[vm] = {toInt(use.at(0)), toInt(use.at(1)), toNumber(use.at(2))};
         }
-        report.arrivingCpu = json.at("arriving_cpu").get<std::int64_t>();
-        report.previousArrivingCpu = json.at("arrived_before_cpu").get<std::int64_t>();
-        report.urgentCpu = json.at("urgent_cpu").get<std::int64_t>();
-        report.lateBacklog = json.at("late_backlog").get<std::int64_t>();
-        report.longRunningCpu = json.at("lasting_cpu").get<std::int64_t>();
-        report.longRunningVms = json.at("lasting_vms").get<int>();
-        report.longRunningWaiting = json.at("lasting_waiting").get<int>();
+        report.arrivingCpu = toNumber(json.at("arriving_cpu"));
+        report.previousArrivingCpu = toNumber(json.at("arrived_before_cpu"));
+        report.urgentCpu = toNumber(json.at("urgent_cpu"));
+        report.lateBacklog = toNumber(json.at("late_backlog"));
+        report.longRunningCpu = toNumber(json.at("lasting_cpu"));
+        report.longRunningVms = toInt(json.at("lasting_vms"));
+        report.longRunningWaiting = toInt(json.at("lasting_waiting"));
         return report;
     } catch (const Json::exception &) {
         return std::nullopt;
