Tell callers a queue length only while it includes recent submissions, and keep the work of slow workers

Queue length. Change: the published load says up to which time of the store's clock submissions are included, and a length that misses more than 4 s is refused (503); a job counts until a worker has confirmed a start.

Slow workers. Cause: a worker whose answers take longer than the margin of 0.4 s looked unreachable, the probes timed out after 0.5 s as well, its leases were not extended, and its running work was started again elsewhere. Change: every second probe waits 1.5 s, and a worker that was slow gets up to 2 s beyond the long poll.

Rows of other writers. Cause: a row of a service that no configuration names, with a VM's name and a newer start, counted as that VM's newer worker; its runs were dropped and started again. Change: such rows are ignored.

Paused entry. Cause: after a pause, an entry could answer requests from its sockets under the configuration from before the pause as soon as the store had answered any call. Change: callers are refused while changes of the configuration may have been missed for 3.5 s (src/intake/availability).

--- /dev/null
+++ b/src/intake/availability.cpp
@@ -0,0 +1,22 @@
+// Age limits of what an entry knows of the store.
+#include "intake/availability.hpp"
+
+namespace hibiscusbridge::jobs
+{
+
+constexpr Millis maxAnswerAge{2'500};
+/// Covers one failed wait of the configuration's feed and the next one.
+constexpr Millis maxConfigurationAge{3'500};
+
+std::string unavailableReason(const StoreContact &contact, Millis now)
+{
+    if (const auto age = now - contact.answeredAt; age > maxAnswerAge) {
+        return "the store has not answered for " + std::to_string(age.count) + " ms";
+    }
+    if (const auto age = now - contact.configurationConfirmedAt; contact.configurationConfirmedAt.count > 0 && age > maxConfigurationAge) {
+        return "the configuration has not been confirmed for " + std::to_string(age.count) + " ms";
+    }
+    return {};
+}
+
+} // namespace hibiscusbridge::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "decode.hpp"
 #include "helpers/json.hpp"
 #include "helpers/log.hpp"
+#include "intake/availability.hpp"
 #include "intake/intake.hpp"
 #include "node/metrics.hpp"
 #include "node/shardhost.hpp"
@@ -24,8 +25,6 @@
 /// Part of the shutdown grace period reserved for the exit of the process.
 constexpr Millis shutdownReserve{700};
 constexpr Millis flushDelay{50};
-/// Callers are refused immediately when the store has not answered for this long.
-constexpr Millis storeOutageThreshold{2'500};
 constexpr Millis peerTimeout{600};
 /// All entries share the 64 connections that a worker accepts. The owner needs one for the renewal request and a few
 /// for orders.
@@ -100,6 +99,7 @@
     , m_intake(intakePorts())
     , m_operator(m_store,
                  loop.timers(),
+                 m_clock,
                  std::string(platform::operatorTable),
                  "",
                  {.replaced = [this](const std::vector<Row> &rows) { onOperatorRows(rows); },
@@ -148,8 +148,7 @@
 
 std::string Node::unavailableReason() const
 {
-    const auto age = m_clock.boot() - m_host.leases().lastAnswerAt();
-    return age > storeOutageThreshold ? "the store has not answered for " + std::to_string(age.count) + " ms" : std::string();
+    return jobs::unavailableReason({m_host.leases().lastAnswerAt(), m_operator.confirmedAt()}, m_clock.boot());
 }
 
 absl::Status Node::listen()
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -3,6 +3,8 @@
 
 #include "helpers/log.hpp"
 
+#include <algorithm>
+
 namespace hibiscusbridge::jobs
 {
 
@@ -23,6 +25,10 @@
 constexpr Millis balanceInterval{1'000};
 constexpr Millis minShardTenure{3'000};
 
+/// Jobs submitted within this time may be missing from the queue length that callers get; an older length is not given to them.
+/// Callers are promised that a job is counted 5 s after its acceptance.
+constexpr Millis maxQueueCountAge{4'000};
+
 static double cpuOf(const EntrySettings &settings)
 {
     return settings.cpuShare * settings.cpuSpeed;
@@ -145,6 +151,11 @@
     m_leases->setShards(shards);
 }
 
+bool ShardHost::isPool(const std::string &name) const
+{
+    return std::any_of(m_configuration->pools.begin(), m_configuration->pools.end(), [&](const PoolConfig &it) { return it.name == name; });
+}
+
 bool ShardHost::isStandby(const std::string &name) const
 {
     for (const auto &it : m_configuration->pools) {
@@ -167,6 +178,9 @@
     if (!load) {
         return -1;
     }
+    if (m_leases->storeTime() - load->submissionsAsOf > maxQueueCountAge) {
+        return -1;
+    }
     const auto it = load->queuedByRoute.find(queue.name);
     return it != load->queuedByRoute.end() ? it->second : 0;
 }
@@ -229,11 +243,19 @@
         return m_fleet->start();
     }
     if (!m_directory) {
-        m_directory = std::make_unique<WorkerDirectory>(m_ports.store, m_ports.timers, m_ports.workerTable, m_ports.decodeWorker, [this] {
-            for (const auto &[pool, owner] : m_pools) {
-                owner->onWorkersChanged();
-            }
-        });
+        m_directory = std::make_unique<WorkerDirectory>(
+            WorkerDirectory::Ports{.store = m_ports.store,
+                                   .timers = m_ports.timers,
+                                   .clock = m_ports.clock,
+                                   .table = m_ports.workerTable,
+                                   .decode = m_ports.decodeWorker,
+                                   .isService = [this](const std::string &service) { return isPool(service); },
+                                   .changed =
+                                       [this] {
+                                           for (const auto &[pool, owner] : m_pools) {
+                                               owner->onWorkersChanged();
+                                           }
+                                       }});
     }
     auto &owner = m_pools[shard];
     owner = makePoolOwner(shard, fence, handedOver);
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -88,6 +88,7 @@
     void requestReport(const std::string &pool,
                        const std::set<std::string> &cordonedVms,
                        std::function<void(std::optional<PoolReport>)> done);
+    bool isPool(const std::string &name) const;
     bool isStandby(const std::string &name) const;
     std::set<std::string> activePools() const;
 
--- a/src/ports/store.hpp
+++ b/src/ports/store.hpp
@@ -76,6 +76,8 @@
     bool hasMore = false;
     /// Latest store version at the time of the read; the position from which a feed continues.
     std::uint64_t version = 0;
+    /// The store's steady clock at the time of the read; 0 if unknown.
+    Millis storeClock;
     std::string error;
 };
 
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -722,7 +722,7 @@
         if (isFinal(job->phase)) {
             continue;
         }
-        if (job->phase == JobPhase::Queued && job->spec.times == 0) {
+        if (!job->begun && job->spec.times == 0) {
             ++load.queuedByRoute[job->spec.route];
         }
         if (isLongRunning(job->spec) || job->spec.times > 0) {
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -89,6 +89,7 @@
                     subtask.failedRuns = known.failedRuns;
                     subtask.lastRun = known.lastRun;
                     subtask.checkpoint = known.checkpoint;
+                    job.begun = job.begun || known.done || !known.failedRuns.empty() || !known.checkpoint.empty();
                     for (const auto &it : known.runs) {
                         auto &worker = m_workers[it.workerId];
                         if (!worker) {
@@ -389,6 +390,7 @@
             continue;
         }
         listed.insert(run);
+        run->job->begun = true;
         if (run->phase != RunPhase::Running) {
             run->phase = RunPhase::Running;
             run->confirmedAt = now;
@@ -477,6 +479,7 @@
     auto &steps = job.occurrences[static_cast<std::size_t>(id.occurrence)];
     auto &subtask = steps[static_cast<std::size_t>(id.step)][static_cast<std::size_t>(id.index)];
     markDirty(job);
+    job.begun = true;
     subtask.lastRun = std::max(subtask.lastRun, end.run);
     if (Run *const run = findRun(worker, id, end.run)) {
         if (end.end == RunEnd::Done && !step.longRunning && run->confirmedAt.count > 0 && run->attempts == 1 && step.estimate.count > 0) {
@@ -541,6 +544,7 @@
     run->orderInFlight = false;
     run->unsent = result.outcome == OrderOutcome::NotSent;
     if (result.outcome == OrderOutcome::Accepted) {
+        run->job->begun = true;
         if (run->phase == RunPhase::Starting) {
             run->phase = RunPhase::Running;
             run->confirmedAt = now;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -109,6 +109,9 @@
     /// Time of submission, boot clock.
     Millis submittedAt;
     bool cancelled = false;
+    /// A worker has confirmed a start of one of its subtasks. `phase` is `Running` as soon as a subtask is placed, and the start
+    /// may still fail.
+    bool begun = false;
     std::vector<std::vector<std::vector<Subtask>>> occurrences;
     /// Number of unfinished subtasks by occurrence and step.
     std::vector<std::vector<int>> openSubtasks;
--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -101,7 +101,8 @@
 
 void Leases::poll()
 {
-    m_store.feed(renewalTable, m_renewalFeedVersion, {0}, m_times.callTimeout, [this, alive = m_alive](const ReadResult &result) {
+    const auto sentAt = m_clock.boot();
+    m_store.feed(renewalTable, m_renewalFeedVersion, {0}, m_times.callTimeout, [this, alive = m_alive, sentAt](const ReadResult &result) {
         if (!*alive) {
             return;
         }
@@ -112,6 +113,8 @@
             }
             m_renewalFeedVersion = std::max(m_renewalFeedVersion, result.version);
             m_lastAnswerAt = now;
+            m_storeClock = result.storeClock;
+            m_storeClockAt = sentAt;
         } else {
             if (result.outcome == ReadOutcome::HistoryLost) {
                 // Missed renewals need not be read, since owners renew often, but no lease may expire because of them.
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -101,6 +101,11 @@
     {
         return m_lastAnswerAt;
     }
+    /// Upper bound of the store's clock.
+    Millis storeTime() const
+    {
+        return m_storeClock + (m_clock.boot() - m_storeClockAt);
+    }
     const LeaseTimes &times() const
     {
         return m_times;
@@ -152,6 +157,9 @@
     bool m_claimsRead = false;
     bool m_stopping = false;
     Millis m_lastAnswerAt;
+    /// The store's clock according to the last answered poll, and the boot time at which that poll was sent.
+    Millis m_storeClock;
+    Millis m_storeClockAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -17,8 +17,13 @@
 constexpr Millis readRetryDelay{150};
 /// Interval between the requests to a worker that does not respond. They return at once instead of waiting for an end.
 constexpr Millis unreachableRenewalInterval{300};
+/// Time for a response to arrive: at least the first, and up to the second for a worker that has recently been slow.
 constexpr Millis renewalTimeoutMargin{400};
+constexpr Millis maxRenewalTimeoutMargin{2'000};
+/// Probes of an unreachable worker alternate between a short timeout, which soon replaces a dead connection, and a long one, in
+/// which a slow worker can answer before its lease expires.
 constexpr Millis probeTimeout{500};
+constexpr Millis slowProbeTimeout{1'500};
 /// Maximum delay of the next renewal while the ends of the last list are being persisted.
 constexpr Millis ackTimeout{400};
 /// A worker cannot have restarted undetected within this time after its last list.
@@ -43,6 +48,7 @@
     , m_ports(std::move(ports))
     , m_submissions(m_ports.store,
                     m_ports.timers,
+                    m_ports.clock,
                     submissionTable(m_name),
                     submissionPart(m_name),
                     {.replaced = [this](const std::vector<Row> &rows) { loadSubmissions(rows, !m_submissionsRead); },
@@ -256,25 +262,27 @@
     // End numbers restart with each incarnation: a cursor of the previous incarnation would acknowledge ends of the new one
     // that have not been received.
     order.ackCursor = reachable && now - worker.listedAt <= incarnationValidity ? worker.ackCursor : 0;
-    auto timeout = probeTimeout;
+    auto timeout = worker.misses > 0 && worker.misses % 2 == 0 ? slowProbeTimeout : probeTimeout;
     if (reachable) {
         // Only a responding worker gets its lease extended, so that runs on an unreachable one end in time.
         order.deadline = m_pool->deadlineFor(worker, now);
         order.wait = m_times.renewalWait;
-        timeout = m_times.renewalWait + renewalTimeoutMargin;
+        timeout = m_times.renewalWait + std::clamp(renewalState.responseTime * 2, renewalTimeoutMargin, maxRenewalTimeoutMargin);
         m_pool->onHoldSent(id, now);
     }
     renewalState.inFlight = true;
     renewalState.sentAt = now;
-    m_ports.workers.renew(
-        order, timeout, m_ports.isOwner, [this, alive = m_alive, worker = id, now, fence = order.fence](const RenewResult &result) {
-            if (*alive) {
-                onRenewal(worker, fence, now, result);
-            }
-        });
+    m_ports.workers.renew(order,
+                          timeout,
+                          m_ports.isOwner,
+                          [this, alive = m_alive, worker = id, now, fence = order.fence, wait = order.wait](const RenewResult &result) {
+                              if (*alive) {
+                                  onRenewal(worker, fence, now, wait, result);
+                              }
+                          });
 }
 
-void PoolOwner::onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, const RenewResult &result)
+void PoolOwner::onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result)
 {
     const auto now = m_ports.clock.boot();
     auto &renewalState = m_renewals[id];
@@ -285,6 +293,10 @@
     m_pool->onHold(id, fence, result, sentAt, now, m_ports.clock.wall());
     if (result.outcome == OrderOutcome::Accepted) {
         renewalState.ackDeadline = now + ackTimeout;
+        // An answer before the end of the wait says nothing about the response time.
+        if (const auto elapsed = now - sentAt; elapsed >= wait) {
+            renewalState.responseTime = elapsed - wait;
+        }
         renewalState.nextSendAt = {};
     } else {
         renewalState.nextSendAt = now + unreachableRenewalInterval;
@@ -454,7 +466,8 @@
     if (!m_loaded) {
         return {};
     }
-    const auto load = m_pool->load(m_ports.clock.boot());
+    auto load = m_pool->load(m_ports.clock.boot());
+    load.submissionsAsOf = m_submissions.currentAsOf();
     const int queued =
         std::accumulate(load.queuedByRoute.begin(), load.queuedByRoute.end(), 0, [](int sum, const auto &it) { return sum + it.second; });
     logEvent(LogLevel::Info,
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -83,6 +83,8 @@
         bool inFlight = false;
         Millis nextSendAt;
         Millis sentAt;
+        /// Recent time between a request and its response, without the wait of the long poll.
+        Millis responseTime;
         /// The next renewal waits until then for the ends of the last list to be persisted, so that it acknowledges them.
         Millis ackDeadline;
     };
@@ -94,7 +96,7 @@
     void run();
     void sendRenewals(Millis now);
     void sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now);
-    void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, const RenewResult &result);
+    void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result);
     void sendOrders(PoolOrders orders);
     void requestAdvice(Millis now);
     void commit(Millis now);
--- a/src/shards/publishedload.cpp
+++ b/src/shards/publishedload.cpp
@@ -9,6 +9,7 @@
 std::string encodePublishedLoad(const PublishedLoad &load)
 {
     const Json json{{"queued", load.queuedByRoute},
+                    {"submissions_as_of_ms", load.submissionsAsOf.count},
                     {"capacity_cpu", load.capacityCpu},
                     {"used_cpu", load.usedCpu},
                     {"backlog", load.backlog},
@@ -25,6 +26,7 @@
         for (const auto &[route, n] : json.at("queued").items()) {
             load.queuedByRoute[route] = toInt(n);
         }
+        load.submissionsAsOf = {toNumber(json.at("submissions_as_of_ms"))};
         load.capacityCpu = toNumber(json.at("capacity_cpu"));
         load.usedCpu = toNumber(json.at("used_cpu"));
         load.backlog = toNumber(json.at("backlog"));
--- a/src/shards/publishedload.hpp
+++ b/src/shards/publishedload.hpp
@@ -1,6 +1,8 @@
 // Load of a pool, published by its owner with each lease renewal.
 #pragma once
 
+#include "helpers/millis.hpp"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,6 +15,8 @@
 struct PublishedLoad {
     /// Accepted jobs without scheduled occurrences of which no subtask has been started.
     std::map<std::string, int> queuedByRoute;
+    /// Store clock: all jobs submitted before this time are included.
+    Millis submissionsAsOf;
     std::int64_t capacityCpu = 0; ///< thousandths of a core
     std::int64_t usedCpu = 0;
     /// Queued and running work according to the corrected estimates, in core-milliseconds.
--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -13,9 +13,10 @@
 constexpr Millis readTimeout{1'500};
 constexpr Millis retryDelay{200};
 
-TableFollower::TableFollower(StorePort store, TimerPort timers, std::string table, std::string part, Callbacks callbacks)
+TableFollower::TableFollower(StorePort store, TimerPort timers, Clock clock, std::string table, std::string part, Callbacks callbacks)
     : m_store(std::move(store))
     , m_timers(std::move(timers))
+    , m_clock(std::move(clock))
     , m_table(std::move(table))
     , m_part(std::move(part))
     , m_callbacks(std::move(callbacks))
@@ -46,7 +47,8 @@
 
 void TableFollower::readPage(const std::string &from)
 {
-    m_store.read({m_table, m_part, from, ""}, readTimeout, [this, alive = m_alive](ReadResult result) {
+    const auto sentAt = m_clock.boot();
+    m_store.read({m_table, m_part, from, ""}, readTimeout, [this, alive = m_alive, sentAt](ReadResult result) {
         if (!*alive) {
             return;
         }
@@ -56,6 +58,8 @@
         }
         if (m_firstPage) {
             m_version = result.version; // Later pages may be newer; the feed delivers their changes again.
+            m_currentAsOf = result.storeClock;
+            m_confirmedAt = sentAt;
             m_firstPage = false;
         }
         for (auto &it : result.rows) {
@@ -75,7 +79,8 @@
 
 void TableFollower::follow()
 {
-    m_store.feed(m_table, m_version, feedWait, feedTimeout, [this, alive = m_alive](ReadResult result) {
+    const auto sentAt = m_clock.boot();
+    m_store.feed(m_table, m_version, feedWait, feedTimeout, [this, alive = m_alive, sentAt](ReadResult result) {
         if (!*alive) {
             return;
         }
@@ -95,6 +100,8 @@
         }
         m_current = true;
         m_version = std::max(m_version, result.version);
+        m_currentAsOf = result.storeClock;
+        m_confirmedAt = sentAt;
         std::erase_if(result.rows, [this](const Row &it) { return it.key.part != m_part; });
         if (!result.rows.empty()) {
             m_callbacks.changed(std::move(result.rows));
@@ -105,12 +112,12 @@
     });
 }
 
-WorkerDirectory::WorkerDirectory(StorePort store, TimerPort timers, std::string table, Decode decode, std::function<void()> changed)
-    : m_decode(std::move(decode))
-    , m_changed(std::move(changed))
-    , m_follower(std::move(store),
-                 std::move(timers),
-                 std::move(table),
+WorkerDirectory::WorkerDirectory(Ports ports)
+    : m_ports(std::move(ports))
+    , m_follower(m_ports.store,
+                 m_ports.timers,
+                 m_ports.clock,
+                 m_ports.table,
                  "",
                  {.replaced =
                       [this](const std::vector<Row> &rows) {
@@ -119,14 +126,14 @@
                               applyRow(it);
                           }
                           m_loaded = true;
-                          m_changed();
+                          m_ports.changed();
                       },
                   .changed =
                       [this](const std::vector<Row> &rows) {
                           for (const auto &it : rows) {
                               applyRow(it);
                           }
-                          m_changed();
+                          m_ports.changed();
                       }})
 {
     m_follower.start();
@@ -138,7 +145,7 @@
         m_workers.erase(row.key.key);
         return;
     }
-    auto worker = m_decode(row);
+    auto worker = m_ports.decode(row);
     if (!worker) {
         ++m_malformed;
         logEvent(LogLevel::Warn, "worker_row_malformed", {{"key", row.key.key}, {"bytes", row.value.size()}, {"count", m_malformed}});
@@ -153,7 +160,7 @@
     std::map<std::string, const WorkerRegistration *> newest;
     std::set<std::string> replaced;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.vm.empty() || worker.incarnationStart == 0) {
+        if (worker.vm.empty() || worker.incarnationStart == 0 || !m_ports.isService(worker.service)) {
             continue;
         }
         auto &known = newest[worker.vm];
--- a/src/shards/workerdirectory.hpp
+++ b/src/shards/workerdirectory.hpp
@@ -27,13 +27,24 @@
         std::function<void(std::vector<Row>)> changed;
     };
 
-    TableFollower(StorePort store, TimerPort timers, std::string table, std::string part, Callbacks callbacks);
+    TableFollower(StorePort store, TimerPort timers, Clock clock, std::string table, std::string part, Callbacks callbacks);
     ~TableFollower();
     void start();
     bool isCurrent() const
     {
         return m_current;
     }
+    /// Store clock: all changes stored before this time have been received; 0 before the first read.
+    Millis currentAsOf() const
+    {
+        return m_currentAsOf;
+    }
+    /// Boot clock: when the last answered read was sent, so that changes stored before this time have been received; 0 before the
+    /// first read.
+    Millis confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
 
 private:
     void readPage(const std::string &from);
@@ -42,6 +53,7 @@
 
     StorePort m_store;
     TimerPort m_timers;
+    Clock m_clock;
     std::string m_table;
     std::string m_part;
     Callbacks m_callbacks;
@@ -49,6 +61,8 @@
     std::uint64_t m_version = 0;
     bool m_firstPage = true;
     bool m_current = false;
+    Millis m_currentAsOf;
+    Millis m_confirmedAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -57,7 +71,18 @@
 public:
     using Decode = std::function<std::optional<WorkerRegistration>(const Row &)>;
 
-    WorkerDirectory(StorePort store, TimerPort timers, std::string table, Decode decode, std::function<void()> changed);
+    struct Ports {
+        StorePort store;
+        TimerPort timers;
+        Clock clock;
+        std::string table;
+        Decode decode;
+        /// Whether the configuration names the service. Rows of other services may come from any writer and are ignored.
+        std::function<bool(const std::string &service)> isService;
+        std::function<void()> changed;
+    };
+
+    explicit WorkerDirectory(Ports ports);
     /// Returns the newest worker of each VM that runs the service. Older workers of the VM have ended with all their runs, but
     /// their rows may remain for a while.
     std::vector<WorkerRegistration> workersOf(const std::string &service) const;
@@ -76,8 +101,7 @@
 private:
     void applyRow(const Row &row);
 
-    Decode m_decode;
-    std::function<void()> m_changed;
+    Ports m_ports;
     std::map<std::string, WorkerRegistration> m_workers;
     std::uint64_t m_malformed = 0;
     bool m_loaded = false;
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -58,7 +58,7 @@
 
 ReadResult FakeStore::readNow(const RowRange &range) const
 {
-    ReadResult result{.outcome = ReadOutcome::Answered, .version = m_version};
+    ReadResult result{.outcome = ReadOutcome::Answered, .version = m_version, .storeClock = m_loop.now()};
     for (auto it = m_rows.lower_bound({range.table, range.part, range.from}); it != m_rows.end(); ++it) {
         const auto &[table, part, key] = it->first;
         if (table != range.table || part != range.part || (!range.to.empty() && key >= range.to)) {
@@ -86,8 +86,10 @@
     if (*answered) {
         return;
     }
-    if (isReachable(client) && !refusing) {
-        ReadResult result{.outcome = after < m_historyFrom ? ReadOutcome::HistoryLost : ReadOutcome::Answered, .version = m_version};
+    if (isReachable(client) && !refusing && !silentFeeds.contains(table)) {
+        ReadResult result{.outcome = after < m_historyFrom ? ReadOutcome::HistoryLost : ReadOutcome::Answered,
+                          .version = m_version,
+                          .storeClock = m_loop.now()};
         std::map<std::uint64_t, std::vector<Row>> changed;
         for (const auto &[key, row] : m_rows) {
             if (std::get<0>(key) == table && row.version > after) {
--- a/tests/fakes/fakestore.hpp
+++ b/tests/fakes/fakestore.hpp
@@ -47,6 +47,8 @@
     bool refusing = false;
     /// Clients whose calls get no response.
     std::set<std::string> disconnected;
+    /// Tables whose feeds get no response.
+    std::set<std::string> silentFeeds;
     Millis latency{4};
     /// Every n-th transaction loses its response; 0 disables the fault.
     int loseResponseEvery = 0;
--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -81,6 +81,12 @@
            || m_workers.at(worker).availableAt > m_loop.now();
 }
 
+Millis FakeWorkers::delayOf(const std::string &worker) const
+{
+    const auto it = responseDelay.find(worker);
+    return it != responseDelay.end() ? it->second : Millis{};
+}
+
 void FakeWorkers::end(FakeWorker &worker, const SubtaskId &subtask, RunEnd how)
 {
     const auto it = worker.running.find(subtask);
@@ -227,8 +233,12 @@
         for (const auto &[subtask, running] : worker.running) {
             result.running.push_back({subtask, running.run, "", static_cast<int>(fullProgress), 0});
         }
-        *answered = true;
-        return done(std::move(result));
+        return m_loop.timers().after(delayOf(worker.registration.id), [answered, done, result = std::move(result)] {
+            if (!*answered) {
+                *answered = true;
+                done(result);
+            }
+        });
     }
     m_loop.timers().after(
         endPollInterval,
@@ -255,8 +265,12 @@
             m_loop.timers().after(orderDelay, [this, order, act] { (this->*act)(m_workers.at(order.worker.id), order); });
             return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
         }
-        m_loop.timers().after(latency,
-                              [this, order, act, done = std::move(done)] { done((this->*act)(m_workers.at(order.worker.id), order)); });
+        m_loop.timers().after(latency, [this, order, act, timeout, done = std::move(done)] {
+            const auto result = (this->*act)(m_workers.at(order.worker.id), order);
+            const auto delay = delayOf(order.worker.id);
+            m_loop.timers().after(std::min(delay, timeout),
+                                  [done, result, late = delay > timeout] { done(late ? OrderResult{} : result); });
+        });
     };
     port.start = [send](const StartOrder &order, Millis timeout, const MaySend &maySend, std::function<void(OrderResult)> done) {
         send(order, timeout, maySend, std::move(done), &FakeWorkers::handleStart);
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -35,6 +35,8 @@
     std::set<std::string> unresponsive;
     /// Pairs of an entry and a worker that it cannot reach.
     std::set<std::pair<std::string, std::string>> blockedLinks;
+    /// Additional delay of all responses of a worker, which carries orders out without delay.
+    std::map<std::string, Millis> responseDelay;
     /// Workers that carry out start and stop orders after `orderDelay` and send no response.
     std::set<std::string> delayed;
     Millis orderDelay{3'000};
@@ -95,6 +97,7 @@
                      const std::shared_ptr<bool> &answered,
                      const std::function<void(RenewResult)> &done);
     void checkStart(const FakeWorker &worker, const StartOrder &order, const Resources &need);
+    Millis delayOf(const std::string &worker) const;
     bool unreachable(const std::string &client, const std::string &worker) const;
 
     FakeLoop &m_loop;
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -171,6 +171,14 @@
     return got;
 }
 
+Answer JobCluster::readQueue(const std::string &entry)
+{
+    Answer got{.kind = AnswerKind::Unknown};
+    m_entries.at(entry).intake->handle({.kind = CallKind::Read, .host = "host", .path = "/q/"},
+                                       [&got](const Answer &answer) { got = answer; });
+    return got;
+}
+
 JobPhase JobCluster::phaseOf(const std::string &id) const
 {
     return decodePhase(store.value(progressKey(poolName, id))).value_or(JobPhase::Queued);
--- a/tests/unit/jobcluster.hpp
+++ b/tests/unit/jobcluster.hpp
@@ -37,6 +37,8 @@
     /// Submits the job through an entry; the response is stored in `answers` under the job id.
     void submit(const std::string &entry, const JobSpec &spec);
     void cancel(const std::string &entry, const std::string &id);
+    /// Length of the queue that the entry tells callers; a refusal if it does not know it.
+    Answer readQueue(const std::string &entry);
     Answer readState(const std::string &entry, const std::string &id);
     void registerWorker(const WorkerRegistration &worker);
     void unregisterWorker(const std::string &id);
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -2,6 +2,7 @@
 #include "unit/jobcluster.hpp"
 
 #include "jobs/codec.hpp"
+#include "shards/rows.hpp"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -160,6 +161,115 @@
     CHECK(cluster.workers.violations.empty());
 }
 
+TEST_CASE("a worker that answers slowly keeps its running work")
+{
+    // Each answer takes longer than the margin of a renewal's timeout, so the worker looks unreachable although it executes all
+    // orders. Its leases must be extended all the same, and no run may be started again elsewhere.
+    const auto delay = GENERATE(700, 1'200);
+    CAPTURE(delay);
+    JobCluster cluster(2, 3);
+    auto step = makeStep(3, 1'000, {500});
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {step}));
+    cluster.loop.advance({1'000});
+    REQUIRE(cluster.workers.runningOf(jobId(1)) == 3);
+    const int starts = cluster.workers.starts;
+    cluster.workers.responseDelay["w0"] = Millis{delay};
+    cluster.loop.advance({30'000});
+    CHECK(cluster.workers.runningOf(jobId(1)) == 3);
+    CHECK(cluster.workers.starts == starts);
+}
+
+TEST_CASE("a worker that was silent for less than its lease keeps its running work")
+{
+    const auto silence = GENERATE(500, 1'500, 2'500, 3'000);
+    CAPTURE(silence);
+    JobCluster cluster(2, 3);
+    auto step = makeStep(3, 1'000, {500});
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {step}));
+    cluster.loop.advance({1'000});
+    const int starts = cluster.workers.starts;
+    for (int i = 0; i < 4; ++i) {
+        cluster.workers.unresponsive = {"w0"};
+        cluster.loop.advance({silence});
+        cluster.workers.unresponsive.clear();
+        cluster.loop.advance({3'000 + 111 * i});
+    }
+    CHECK(cluster.workers.runningOf(jobId(1)) == 3);
+    CHECK(cluster.workers.starts == starts);
+}
+
+TEST_CASE("a worker that is missing from the list for a while keeps its running work")
+{
+    JobCluster cluster(2, 2);
+    cluster.loop.advance(startupTime);
+    auto step = makeStep(2, 1'000, {500});
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    cluster.submit("e0", makeJob(jobId(1), {step}));
+    cluster.loop.advance({1'000});
+    const int starts = cluster.workers.starts;
+    cluster.unregisterWorker("w0");
+    cluster.loop.advance({7'000});
+    CHECK(cluster.workers.runningOf(jobId(1)) == 2);
+    CHECK(cluster.workers.starts == starts);
+}
+
+TEST_CASE("a row of an unknown service does not end the runs of the VM that it names")
+{
+    // Rows of the worker table may come from another writer. Taken for a newer worker of the VM, such a row would let the
+    // subtasks that still run there be started again elsewhere.
+    JobCluster cluster(2, 2);
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(6, 2'000, {4'000})}));
+    cluster.loop.advance({500});
+    const int starts = cluster.workers.starts;
+    REQUIRE(starts == 6);
+    cluster.registerWorker({.id = "other",
+                            .service = "nowhere",
+                            .address = "other",
+                            .vm = "vm-w0",
+                            .incarnationStart = cluster.loop.now().count,
+                            .capacity = {8'000, 8'000, 0}});
+    cluster.loop.advance({6'000});
+    CHECK(cluster.workers.starts == starts);
+    CHECK(cluster.allFinal());
+    INFO(joined(cluster.workers.violations));
+    CHECK(cluster.workers.violations.empty());
+}
+
+TEST_CASE("a queue length that misses recent submissions is refused rather than reported")
+{
+    JobCluster cluster(3, 1);
+    cluster.loop.advance(startupTime);
+    // Fills the worker, so that later jobs wait.
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(8, 1'000, {60'000})}));
+    cluster.loop.advance({1'000});
+    cluster.submit("e0", twoStepJob(2));
+    cluster.loop.advance({3'000});
+    for (const auto &it : cluster.names) {
+        const auto answer = cluster.readQueue(it);
+        CHECK(answer.kind == AnswerKind::QueuedCount);
+        CHECK(answer.queued == 1);
+    }
+    // The owner goes on publishing, but no longer receives submissions.
+    cluster.store.silentFeeds = {submissionTable("pool")};
+    cluster.loop.advance({2'000});
+    cluster.submit("e0", twoStepJob(3));
+    cluster.loop.advance({5'000});
+    for (const auto &it : cluster.names) {
+        CHECK(cluster.readQueue(it).kind == AnswerKind::Refused);
+    }
+    cluster.store.silentFeeds.clear();
+    cluster.loop.advance({3'000});
+    CHECK(cluster.readQueue("e1").queued == 2);
+}
+
 TEST_CASE("all jobs of a pool complete after its owner is killed, stopped or partitioned from the store")
 {
     const auto fault = GENERATE(std::string("kill"), std::string("stop"), std::string("cut"));
--- a/tests/unit/pool_test.cpp
+++ b/tests/unit/pool_test.cpp
@@ -242,3 +242,20 @@
     sim.end("w0", RunEnd::Stopped);
     CHECK(sim.start(0) == std::vector<std::string>{"w0"});
 }
+
+TEST_CASE("a job counts as queued until a worker has confirmed a start")
+{
+    // A job whose first start was refused or got no response has not begun, although a subtask was placed.
+    SimulatedWorkers sim({"w0"});
+    sim.pool.addJob(shortJob("0000000000000001", 1, 1'000), std::nullopt, sim.now, sim.now);
+    sim.pool.schedule(sim.now, sim.now, true);
+    sim.pool.takeRecords(10);
+    const auto starts = sim.pool.onRecordsCommitted(sim.now).starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(sim.pool.load(sim.now).queuedByRoute["short"] == 1);
+    sim.pool.onStart(starts[0], {.outcome = OrderOutcome::Unhealthy}, sim.now);
+    CHECK(sim.pool.load(sim.now).queuedByRoute["short"] == 1);
+    sim.now += Millis{2'000};
+    REQUIRE(sim.start(0).size() == 1);
+    CHECK(sim.pool.load(sim.now).queuedByRoute["short"] == 0);
+}
