--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -63,6 +63,10 @@
         logEvent(LogLevel::Warn, "call_refused", {{"job", id}, {"route", queue->name}, {"reason", reason}});
         return done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = std::move(reason)});
     }
+    const auto shard = m_ports.shardOf(queue->pool, id);
+    if (shard.empty()) {
+        return done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the division of the fleet is not known yet"});
+    }
     ++m_inFlight;
     Done counted = [this, alive = m_alive, done = std::move(done)](Answer answer) {
         if (*alive) {
@@ -71,13 +75,13 @@
         done(std::move(answer));
     };
     if (call.kind == CallKind::Submit) {
-        return submit(*queue, id, std::move(call), std::move(counted));
+        return submit(*queue, shard, id, std::move(call), std::move(counted));
     }
     if (call.kind == CallKind::Read) {
-        return readState(queue->pool, id, std::move(counted));
+        return readState(shard, id, std::move(counted));
     }
     auto attempt = std::make_shared<Attempt>();
-    attempt->pool = queue->pool;
+    attempt->shard = shard;
     attempt->id = id;
     attempt->startedAt = m_ports.clock.boot();
     attempt->deadline = attempt->startedAt + std::max(call.callerTimeout - answerMargin, answerMargin);
@@ -85,7 +89,7 @@
     cancel(attempt);
 }
 
-void Intake::submit(const Queue &queue, const std::string &id, Call call, Done done)
+void Intake::submit(const Queue &queue, const std::string &shard, const std::string &id, Call call, Done done)
 {
     if (!call.job.ok()) {
         logEvent(LogLevel::Info, "job_invalid", {{"job", id}, {"route", queue.name}, {"reason", std::string(call.job.status().message())}});
@@ -103,7 +107,7 @@
         return done({.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
     }
     auto attempt = std::make_shared<Attempt>();
-    attempt->pool = queue.pool;
+    attempt->shard = shard;
     attempt->id = id;
     attempt->value = encodeSpec(spec);
     attempt->startedAt = m_ports.clock.boot();
@@ -125,7 +129,7 @@
 {
     const auto now = m_ports.clock.boot();
     RowTransaction tx;
-    const auto key = submissionKey(attempt->pool, attempt->id);
+    const auto key = submissionKey(attempt->shard, attempt->id);
     tx.conditions.push_back({key, 0});
     tx.puts.push_back({key, attempt->value});
     const auto timeout = std::min(storeTimeout, std::max(attempt->deadline - now, Millis{100}));
@@ -139,7 +143,7 @@
             logEvent(LogLevel::Info,
                      "job_accepted",
                      {{"job", attempt->id},
-                      {"pool", attempt->pool},
+                      {"shard", attempt->shard},
                       {"known_before", known},
                       {"version", result.version},
                       {"store_ms", elapsed}});
@@ -153,7 +157,7 @@
         if (m_ports.clock.boot() >= attempt->deadline) {
             logEvent(LogLevel::Warn,
                      attempt->uncertain ? "job_outcome_unknown" : "job_refused",
-                     {{"job", attempt->id}, {"pool", attempt->pool}, {"reason", "store: " + result.error}});
+                     {{"job", attempt->id}, {"shard", attempt->shard}, {"reason", "store: " + result.error}});
             return attempt->done({.kind = attempt->uncertain ? AnswerKind::Unknown : AnswerKind::Refused,
                                   .retryAfter = storeRetryAfter,
                                   .reason = "the store did not confirm the job"});
@@ -162,9 +166,9 @@
     });
 }
 
-void Intake::readState(const std::string &pool, const std::string &id, Done done)
+void Intake::readState(const std::string &shard, const std::string &id, Done done)
 {
-    const auto key = progressKey(pool, id);
+    const auto key = progressKey(shard, id);
     const auto fail = [id, done](const std::string &error) {
         logEvent(LogLevel::Warn, "state_not_read", {{"job", id}, {"reason", "store: " + error}});
         done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
@@ -172,7 +176,7 @@
     m_ports.store.read(
         {key.table, key.part, key.key, key.key + '\x01', 1},
         readTimeout,
-        [this, alive = m_alive, pool, id, done, fail](const ReadResult &result) {
+        [this, alive = m_alive, shard, id, done, fail](const ReadResult &result) {
             if (!*alive || result.outcome != ReadOutcome::Answered) {
                 return fail(result.error);
             }
@@ -183,7 +187,7 @@
                 }
                 return done({.kind = AnswerKind::State, .phase = *phase});
             }
-            const auto submission = submissionKey(pool, id);
+            const auto submission = submissionKey(shard, id);
             m_ports.store.read({submission.table, submission.part, id, id + '\x01', 1}, readTimeout, [done, fail](const ReadResult &row) {
                 if (row.outcome != ReadOutcome::Answered) {
                     return fail(row.error);
@@ -196,7 +200,7 @@
 
 void Intake::cancel(std::shared_ptr<Attempt> attempt)
 {
-    const auto key = submissionKey(attempt->pool, attempt->id);
+    const auto key = submissionKey(attempt->shard, attempt->id);
     m_ports.store.read(
         {key.table, key.part, key.key, key.key + '\x01', 1}, readTimeout, [this, alive = m_alive, attempt](const ReadResult &result) {
             if (!*alive) {
@@ -219,13 +223,13 @@
 void Intake::tryCancel(std::shared_ptr<Attempt> attempt)
 {
     RowTransaction tx;
-    tx.puts.push_back({cancellationKey(attempt->pool, attempt->id), "1"});
+    tx.puts.push_back({cancellationKey(attempt->shard, attempt->id), "1"});
     m_ports.store.commit(std::move(tx), storeTimeout, [this, alive = m_alive, attempt](const CommitResult &result) {
         if (!*alive) {
             return;
         }
         if (result.outcome == CommitOutcome::Applied) {
-            logEvent(LogLevel::Info, "cancel_accepted", {{"job", attempt->id}, {"pool", attempt->pool}, {"version", result.version}});
+            logEvent(LogLevel::Info, "cancel_accepted", {{"job", attempt->id}, {"shard", attempt->shard}, {"version", result.version}});
             return attempt->done({.kind = AnswerKind::Done});
         }
         if (m_ports.clock.boot() < attempt->deadline) {
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -72,6 +72,8 @@
         /// Number of queued jobs as last published by the owner of the queue's pool; negative if unknown.
         std::function<int(const Queue &)> queuedJobs;
         std::function<Admission(const Queue &, const JobSpec &)> admit;
+        /// Shard of the pool that the job belongs to; empty if it is not known yet.
+        std::function<std::string(const std::string &pool, const std::string &job)> shardOf;
         /// Returns the reason why this entry cannot serve calls at present, or an empty string if it can.
         std::function<std::string()> unavailable;
     };
@@ -89,7 +91,7 @@
 
 private:
     struct Attempt {
-        std::string pool;
+        std::string shard;
         std::string id;
         std::string value;
         Millis startedAt;
@@ -100,9 +102,9 @@
         Done done;
     };
 
-    void submit(const Queue &queue, const std::string &id, Call call, Done done);
+    void submit(const Queue &queue, const std::string &shard, const std::string &id, Call call, Done done);
     void tryStore(std::shared_ptr<Attempt> attempt);
-    void readState(const std::string &pool, const std::string &id, Done done);
+    void readState(const std::string &shard, const std::string &id, Done done);
     void cancel(std::shared_ptr<Attempt> attempt);
     void tryCancel(std::shared_ptr<Attempt> attempt);
     void retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,7 +52,7 @@
     void onPeer(const HttpRequest &request, const HttpResponder &respond);
     void onMetrics(const HttpRequest &request, const HttpResponder &respond) const;
     void requestPeerReport(const std::string &address,
-                           const std::string &pool,
+                           const std::string &shard,
                            const std::set<std::string> &cordonedVms,
                            std::function<void(std::optional<PoolReport>)> done);
     void requestShard(const std::string &address, const std::string &shard, int held);
@@ -112,25 +112,26 @@
 
 ShardHost::Ports Node::hostPorts()
 {
-    return {
-        .store = m_store,
-        .workers = m_metrics.instrument(platform::makeWorkers(m_workerHttp.port()), m_clock),
-        .vms = platform::makeVms(m_vmHttp.port(), m_settings.vmAddress),
-        .advice = m_settings.adviceAddress.empty() ? AdvicePort{} : platform::makeAdvice(m_vmHttp.port(), m_settings.adviceAddress),
-        .timers = m_loop.timers(),
-        .clock = m_clock,
-        .workerTable = std::string(platform::workerTable),
-        .decodeWorker = platform::decodeWorker,
-        .waveStatus = platform::encodeWaveStatus,
-        .requestPeerReport =
-            [this](const std::string &address,
-                   const std::string &pool,
-                   const std::set<std::string> &cordonedVms,
-                   std::function<void(std::optional<PoolReport>)> done) { requestPeerReport(address, pool, cordonedVms, std::move(done)); },
-        .requestShard =
-            [this](const std::string &address, const std::string &shard, int held) {
-                requestShard(address, shard, held);
-            }};
+    return {.store = m_store,
+            .workers = m_metrics.instrument(platform::makeWorkers(m_workerHttp.port()), m_clock),
+            .vms = platform::makeVms(m_vmHttp.port(), m_settings.vmAddress),
+            .advice = m_settings.adviceAddress.empty() ? AdvicePort{} : platform::makeAdvice(m_vmHttp.port(), m_settings.adviceAddress),
+            .timers = m_loop.timers(),
+            .clock = m_clock,
+            .workerTable = std::string(platform::workerTable),
+            .decodeWorker = platform::decodeWorker,
+            .waveStatus = platform::encodeWaveStatus,
+            .requestPeerReport =
+                [this](const std::string &address,
+                       const std::string &shard,
+                       const std::set<std::string> &cordonedVms,
+                       std::function<void(std::optional<PoolReport>)> done) {
+                    requestPeerReport(address, shard, cordonedVms, std::move(done));
+                },
+            .requestShard =
+                [this](const std::string &address, const std::string &shard, int held) {
+                    requestShard(address, shard, held);
+                }};
 }
 
 Intake::Ports Node::intakePorts()
@@ -142,12 +143,16 @@
         .configuration = [this] { return m_host.configuration(); },
         .queuedJobs = [this](const Queue &queue) { return m_host.queuedJobs(queue); },
         .admit = [](const Queue &, const JobSpec &) { return Admission{}; },
+        .shardOf = [this](const std::string &pool, const std::string &job) { return m_host.shardOf(pool, job); },
         .unavailable = [this] { return unavailableReason(); },
     };
 }
 
 std::string Node::unavailableReason() const
 {
+    if (m_host.configuration() && m_host.cells().count == 0) {
+        return "the division of the fleet into cells is not known yet";
+    }
     return jobs::unavailableReason({m_host.leases().lastAnswerAt(), m_operator.confirmedAt()}, m_clock.boot());
 }
 
@@ -237,12 +242,12 @@
 }
 
 void Node::requestPeerReport(const std::string &address,
-                             const std::string &pool,
+                             const std::string &shard,
                              const std::set<std::string> &cordonedVms,
                              std::function<void(std::optional<PoolReport>)> done)
 {
     TargetRequest request{.address = address, .method = "POST", .path = std::string(reportPath), .timeout = peerTimeout};
-    request.body = Json{{"pool", pool}, {"keep_empty", cordonedVms}}.dump();
+    request.body = Json{{"shard", shard}, {"keep_empty", cordonedVms}}.dump();
     m_peerHttp.send(std::move(request), [done = std::move(done)](const TargetResult &answer) {
         const bool answered = answer.outcome == TargetOutcome::Answered && answer.status == 200;
         done(answered ? decodeReport(answer.body) : std::nullopt);
@@ -277,7 +282,7 @@
 HttpResponse Node::onReportRequest(const Json &payload)
 {
     const auto names = textsOf(payload, "keep_empty");
-    const auto report = m_host.report(textOf(payload, "pool"), {names.begin(), names.end()});
+    const auto report = m_host.report(textOf(payload, "shard"), {names.begin(), names.end()});
     return report ? HttpResponse{.status = 200, .body = encodeReport(*report)} : HttpResponse{.status = 503};
 }
 
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -1,6 +1,7 @@
 // Acquires, releases and balances the shards of this entry.
 #include "node/shardhost.hpp"
 
+#include "helpers/json.hpp"
 #include "helpers/log.hpp"
 
 #include <algorithm>
@@ -29,6 +30,10 @@
 /// Callers are promised that a job is counted 5 s after its acceptance.
 constexpr Millis maxQueueCountAge{4'000};
 
+/// Row of the claim table, in the part of the fleet's shard, that holds the number of cells. All entries follow that table.
+constexpr const char *cellsKey = "cells";
+constexpr Millis layoutWriteTimeout{1'500};
+
 static double cpuOf(const EntrySettings &settings)
 {
     return settings.cpuShare * settings.cpuSpeed;
@@ -56,6 +61,9 @@
         const auto it = m_pools.find(shard);
         return it != m_pools.end() ? it->second->status() : std::string();
     };
+    callbacks.otherRow = [this](const Row &row) {
+        onLayoutRow(row);
+    };
     m_leases = std::make_unique<Leases>(m_ports.store,
                                         m_ports.timers,
                                         m_ports.clock,
@@ -146,46 +154,110 @@
 
 void ShardHost::updateShards()
 {
-    auto shards = activePools();
-    shards.insert(fleetShard);
+    std::set<std::string> shards{fleetShard};
+    for (const auto &pool : activePools()) {
+        for (int cell = 0; cell < m_cells.count; ++cell) {
+            const auto name = shardName(m_cells, pool, cell);
+            m_poolShards[name] = {pool, cell};
+            shards.insert(name);
+        }
+    }
     m_leases->setShards(shards);
 }
 
+void ShardHost::onLayoutRow(const Row &row)
+{
+    if (row.key.part != fleetShard || row.key.key != cellsKey || m_cells.count > 0) {
+        return;
+    }
+    const auto json = parseJson(row.value);
+    const Cells cells{json.is_object() ? intOf(json, "cells") : 0};
+    if (cells.count < 1) {
+        return logEvent(LogLevel::Error, "cells_unreadable", {{"version", row.version}});
+    }
+    logEvent(LogLevel::Info, "cells_known", {{"cells", cells.count}, {"version", row.version}});
+    m_cells = cells;
+    if (m_configuration) {
+        updateShards();
+    }
+}
+
+/// Stores the number of cells if no entry has done so yet. It never changes afterwards: a job is found by it.
+void ShardHost::decideCells(std::size_t vms)
+{
+    if (m_cells.count > 0 || m_decidingCells) {
+        return;
+    }
+    m_decidingCells = true;
+    const RowKey key{claimTable, fleetShard, cellsKey};
+    const Json json{{"cells", cellsFor(vms, activePools().size()).count}, {"vms", vms}};
+    RowTransaction tx;
+    tx.conditions = {m_leases->condition(fleetShard), {key, 0}};
+    tx.puts.push_back({key, json.dump()});
+    m_ports.store.commit(std::move(tx), layoutWriteTimeout, [this, alive = m_alive](const CommitResult &result) {
+        if (!*alive) {
+            return;
+        }
+        m_decidingCells = false;
+        // The row itself arrives with the feed of the claim table.
+        if (result.outcome != CommitOutcome::Applied) {
+            logEvent(LogLevel::Warn, "cells_not_stored", {{"error", result.error}});
+        }
+    });
+}
+
+std::string ShardHost::shardOf(const std::string &pool, const std::string &job) const
+{
+    return m_cells.count > 0 ? shardName(m_cells, pool, cellOf(m_cells, job)) : std::string();
+}
+
+std::vector<WorkerRegistration> ShardHost::workersOf(const PoolShard &shard) const
+{
+    auto workers = m_directory->workersOf(shard.pool);
+    std::erase_if(workers, [&](const WorkerRegistration &it) { return cellOf(m_cells, it.vm.empty() ? it.id : it.vm) != shard.cell; });
+    return workers;
+}
+
 bool ShardHost::isPool(const std::string &name) const
 {
     return std::any_of(m_configuration->pools.begin(), m_configuration->pools.end(), [&](const PoolConfig &it) { return it.name == name; });
 }
 
-bool ShardHost::isStandby(const std::string &name) const
+std::set<std::string> ShardHost::standbyPools() const
 {
+    std::set<std::string> pools;
     for (const auto &it : m_configuration->pools) {
-        if (it.name == name) {
-            return it.standby;
+        if (it.standby) {
+            pools.insert(it.name);
         }
     }
-    return false;
+    for (const auto &it : activePools()) {
+        pools.erase(it);
+    }
+    return pools;
 }
 
-std::optional<PublishedLoad> ShardHost::publishedLoad(const std::string &pool) const
+std::optional<PublishedLoad> ShardHost::publishedLoad(const std::string &shard) const
 {
-    const auto *const owner = m_leases->owner(pool);
+    const auto *const owner = m_leases->owner(shard);
     return owner ? decodePublishedLoad(owner->status) : std::nullopt;
 }
 
 int ShardHost::queuedJobs(const Queue &queue) const
 {
-    const auto load = publishedLoad(queue.pool);
-    if (!load) {
-        return -1;
-    }
-    if (m_leases->storeTime() - load->submissionsAsOf > maxQueueCountAge) {
-        return -1;
+    int queued = m_cells.count > 0 ? 0 : -1;
+    for (int cell = 0; cell < m_cells.count; ++cell) {
+        const auto load = publishedLoad(shardName(m_cells, queue.pool, cell));
+        if (!load || m_leases->storeTime() - load->submissionsAsOf > maxQueueCountAge) {
+            return -1;
+        }
+        const auto it = load->queuedByRoute.find(queue.name);
+        queued += it != load->queuedByRoute.end() ? it->second : 0;
     }
-    const auto it = load->queuedByRoute.find(queue.name);
-    return it != load->queuedByRoute.end() ? it->second : 0;
+    return queued;
 }
 
-std::unique_ptr<PoolOwner> ShardHost::makePoolOwner(const std::string &pool, std::uint64_t fence, bool handedOver)
+std::unique_ptr<PoolOwner> ShardHost::makePoolOwner(const std::string &shard, std::uint64_t fence, bool handedOver)
 {
     PoolTimes times;
     const auto &lease = m_leases->times();
@@ -201,15 +273,15 @@
         .advice = m_ports.advice,
         .timers = m_ports.timers,
         .clock = m_ports.clock,
-        .isOwner = [this, pool] { return m_leases->holds(pool); },
-        .isSoleOwner = [this, pool] { return m_leases->isSoleOwner(pool); },
-        .leaseLimit = [this, pool] { return m_leases->expiresAt(pool); },
-        .condition = [this, pool] { return m_leases->condition(pool); },
-        .registeredWorkers = [this, pool] { return m_directory->workersOf(pool); },
+        .isOwner = [this, shard] { return m_leases->holds(shard); },
+        .isSoleOwner = [this, shard] { return m_leases->isSoleOwner(shard); },
+        .leaseLimit = [this, shard] { return m_leases->expiresAt(shard); },
+        .condition = [this, shard] { return m_leases->condition(shard); },
+        .registeredWorkers = [this, shard] { return workersOf(m_poolShards.at(shard)); },
         .endedWorkers = [this] { return m_directory->replacedWorkers(); },
-        .superseded = [this, pool](const std::string &reason) { m_leases->loseShard(pool, reason); },
+        .superseded = [this, shard](const std::string &reason) { m_leases->loseShard(shard, reason); },
     };
-    return std::make_unique<PoolOwner>(pool, fence, times, ownTimes, std::move(ports));
+    return std::make_unique<PoolOwner>(shard, fence, times, ownTimes, std::move(ports));
 }
 
 std::unique_ptr<FleetOwner> ShardHost::makeFleetOwner(std::uint64_t fence)
@@ -224,12 +296,15 @@
         .condition = [this] { return m_leases->condition(fleetShard); },
         .waves = [this]() -> const std::map<std::int64_t, Wave> & { return m_waves; },
         .isIdle = [this](const std::string &pool) { return !activePools().contains(pool); },
-        .isStandby = [this](const std::string &pool) { return isStandby(pool); },
+        .standbyPools = [this] { return standbyPools(); },
         .activePools = [this] { return activePools(); },
+        .cells = [this] { return m_cells; },
+        .vmsCounted = [this](std::size_t vms) { decideCells(vms); },
         .waveStatus = m_ports.waveStatus,
-        .requestReport = [this](const std::string &pool,
-                                const std::set<std::string> &cordonedVms,
-                                std::function<void(std::optional<PoolReport>)> done) { requestReport(pool, cordonedVms, std::move(done)); },
+        .requestReport =
+            [this](const std::string &shard,
+                   const std::set<std::string> &cordonedVms,
+                   std::function<void(std::optional<PoolReport>)> done) { requestReport(shard, cordonedVms, std::move(done)); },
         .superseded = [this](const std::string &reason) { m_leases->loseShard(fleetShard, reason); },
     };
     return std::make_unique<FleetOwner>(fence, FleetOwnerTimes{}, std::move(ports));
@@ -276,24 +351,24 @@
     }
 }
 
-std::optional<PoolReport> ShardHost::report(const std::string &pool, const std::set<std::string> &cordonedVms)
+std::optional<PoolReport> ShardHost::report(const std::string &shard, const std::set<std::string> &cordonedVms)
 {
-    const auto it = m_pools.find(pool);
+    const auto it = m_pools.find(shard);
     return it != m_pools.end() ? it->second->report(cordonedVms, m_ports.clock.boot() + cordonDuration) : std::nullopt;
 }
 
-void ShardHost::requestReport(const std::string &pool,
+void ShardHost::requestReport(const std::string &shard,
                               const std::set<std::string> &cordonedVms,
                               std::function<void(std::optional<PoolReport>)> done)
 {
-    if (m_pools.contains(pool)) {
-        return done(report(pool, cordonedVms));
+    if (m_pools.contains(shard)) {
+        return done(report(shard, cordonedVms));
     }
-    const auto *const owner = m_leases->owner(pool);
+    const auto *const owner = m_leases->owner(shard);
     if (!owner || owner->address.empty()) {
         return done(std::nullopt);
     }
-    m_ports.requestPeerReport(owner->address, pool, cordonedVms, std::move(done));
+    m_ports.requestPeerReport(owner->address, shard, cordonedVms, std::move(done));
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/entrysettings.hpp"
+#include "model/cells.hpp"
 #include "model/queues.hpp"
 #include "ports/store.hpp"
 #include "ports/timer.hpp"
@@ -37,9 +38,9 @@
         std::string workerTable;
         WorkerDirectory::Decode decodeWorker;
         std::function<RowPut(std::int64_t wave, bool completed)> waveStatus;
-        /// Requests the report of a pool from the entry that owns it, at this peer address.
+        /// Requests the report of a pool's shard from the entry that owns it, at this peer address.
         std::function<void(const std::string &address,
-                           const std::string &pool,
+                           const std::string &shard,
                            const std::set<std::string> &cordonedVms,
                            std::function<void(std::optional<PoolReport>)>)>
             requestPeerReport;
@@ -62,14 +63,21 @@
     {
         return m_configuration ? &*m_configuration : nullptr;
     }
-    /// Returns the report of a pool that this entry owns, and nothing for other pools. Cordons the given VMs.
-    std::optional<PoolReport> report(const std::string &pool, const std::set<std::string> &cordonedVms);
+    /// Returns the report of a pool's shard that this entry owns, and nothing for other shards. Cordons the given VMs.
+    std::optional<PoolReport> report(const std::string &shard, const std::set<std::string> &cordonedVms);
     /// Handles the request of another entry for a shard. Returns whether the shard is handed over.
     bool onShardRequest(const std::string &shard, const std::string &entry, double cpu, int held);
-    /// Number of queued jobs last published by the pool's owner; negative when unknown.
+    /// Number of queued jobs last published by the owners of the pool's shards; negative when unknown.
     int queuedJobs(const Queue &queue) const;
-    /// Load last published by the pool's owner; nothing when unknown.
-    std::optional<PublishedLoad> publishedLoad(const std::string &pool) const;
+    /// Load last published by the shard's owner; nothing when unknown.
+    std::optional<PublishedLoad> publishedLoad(const std::string &shard) const;
+    /// The count is 0 until the division of the fleet is known; no job can be accepted before.
+    const Cells &cells() const
+    {
+        return m_cells;
+    }
+    /// Shard of the pool that runs the job; empty while the division of the fleet is not known.
+    std::string shardOf(const std::string &pool, const std::string &job) const;
     const Leases &leases() const
     {
         return *m_leases;
@@ -78,24 +86,37 @@
     void stop(std::function<void()> done);
 
 private:
+    /// One cell of one pool.
+    struct PoolShard {
+        std::string pool;
+        int cell = 0;
+    };
+
     void updateShards();
+    void onLayoutRow(const Row &row);
+    void decideCells(std::size_t vms);
+    std::vector<WorkerRegistration> workersOf(const PoolShard &shard) const;
     /// Periodically requests a shard from an entry with less CPU per shard.
     void balance();
     void onAcquired(const std::string &shard, std::uint64_t fence, bool handedOver);
     void onLost(const std::string &shard);
-    std::unique_ptr<PoolOwner> makePoolOwner(const std::string &pool, std::uint64_t fence, bool handedOver);
+    std::unique_ptr<PoolOwner> makePoolOwner(const std::string &shard, std::uint64_t fence, bool handedOver);
     std::unique_ptr<FleetOwner> makeFleetOwner(std::uint64_t fence);
-    void requestReport(const std::string &pool,
+    void requestReport(const std::string &shard,
                        const std::set<std::string> &cordonedVms,
                        std::function<void(std::optional<PoolReport>)> done);
     bool isPool(const std::string &name) const;
-    bool isStandby(const std::string &name) const;
+    std::set<std::string> standbyPools() const;
     std::set<std::string> activePools() const;
 
     EntrySettings m_settings;
     Ports m_ports;
     std::optional<Configuration> m_configuration;
     std::map<std::int64_t, Wave> m_waves;
+    Cells m_cells;
+    bool m_decidingCells = false;
+    /// Shards of the pools that have a queue or had one.
+    std::map<std::string, PoolShard> m_poolShards;
     std::unique_ptr<WorkerDirectory> m_directory;
     std::unique_ptr<Leases> m_leases;
     /// Boot time at which each shard was acquired.
--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr const char *rowName = "owner";
+/// Rows that a shard may have in the claim table.
+constexpr int maxClaimRows = 10;
 /// Wait of the long poll on the claim feed; also bounds the time until a dead connection is detected.
 constexpr Millis claimFeedWait{4'000};
 constexpr Millis feedTimeoutMargin{700};
@@ -48,6 +50,7 @@
     for (const auto &name : shards) {
         m_shards[name].wanted = true;
     }
+    readAddedClaims();
     for (auto &[name, shard] : m_shards) {
         if (!shards.contains(name)) {
             shard.wanted = false;
@@ -151,6 +154,7 @@
             for (const auto &it : result.rows) {
                 onClaimRow(it);
             }
+            m_claimHistoryComplete = m_claimHistoryComplete || m_claimFeedVersion == 0;
             m_claimFeedVersion = std::max(m_claimFeedVersion, result.version);
             m_claimsRead = true;
             evaluateClaims();
@@ -186,10 +190,12 @@
         });
     }
     for (const auto &[name, shard] : m_shards) {
-        m_store.read({claimTable, name, "", "", 1}, m_times.callTimeout, [this, alive = m_alive, reading](const ReadResult &rows) {
+        const RowRange range{claimTable, name, "", "", maxClaimRows};
+        m_store.read(range, m_times.callTimeout, [this, alive = m_alive, reading, name = name](const ReadResult &rows) {
             if (!*alive) {
                 return;
             }
+            m_shards[name].read = m_shards[name].read || rows.outcome == ReadOutcome::Answered;
             reading->failed = reading->failed || rows.outcome != ReadOutcome::Answered;
             reading->version = reading->version == 0 ? rows.version : std::min(reading->version, rows.version);
             for (const auto &it : rows.rows) {
@@ -201,6 +207,7 @@
             if (!reading->failed) {
                 m_claimFeedVersion = std::max(m_claimFeedVersion, reading->version);
                 m_claimsRead = true;
+                readAddedClaims();
                 evaluateClaims();
             }
             m_timers.after(reading->failed ? retryDelay : Millis{0}, [this, alive] {
@@ -212,8 +219,50 @@
     }
 }
 
+/// Reads the claims of shards that were added after the others had been read.
+void Leases::readAddedClaims()
+{
+    if (!m_claimsRead || m_claimHistoryComplete) {
+        return;
+    }
+    for (auto &[name, shard] : m_shards) {
+        if (shard.wanted && !shard.read && !shard.reading) {
+            readClaim(name);
+        }
+    }
+}
+
+void Leases::readClaim(const std::string &name)
+{
+    m_shards[name].reading = true;
+    m_store.read({claimTable, name, "", "", maxClaimRows}, m_times.callTimeout, [this, alive = m_alive, name](const ReadResult &result) {
+        if (!*alive) {
+            return;
+        }
+        if (result.outcome != ReadOutcome::Answered) {
+            return m_timers.after(retryDelay, [this, alive, name] {
+                if (*alive) {
+                    readClaim(name);
+                }
+            });
+        }
+        for (const auto &it : result.rows) {
+            onClaimRow(it);
+        }
+        m_shards[name].read = true;
+        m_shards[name].reading = false;
+        evaluateClaims();
+    });
+}
+
 void Leases::onClaimRow(const Row &row)
 {
+    if (row.key.key != rowName) {
+        if (m_callbacks.otherRow) {
+            m_callbacks.otherRow(row);
+        }
+        return;
+    }
     auto &shard = m_shards[row.key.part];
     if (row.version <= shard.claimVersion) {
         return;
@@ -260,7 +309,7 @@
 /// Schedules a claim if the shard is vacant or its lease has expired.
 void Leases::evaluateClaim(const std::string &name, Shard &shard)
 {
-    if (!m_claimsRead || !shard.wanted || shard.held || shard.claiming || m_stopping) {
+    if (!m_claimsRead || !(m_claimHistoryComplete || shard.read) || !shard.wanted || shard.held || shard.claiming || m_stopping) {
         return;
     }
     const auto now = m_clock.boot();
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -68,6 +68,8 @@
         std::function<void(const std::string &shard)> lost;
         /// Returns the status text to publish with the next renewal.
         std::function<std::string(const std::string &shard)> status;
+        /// Receives a row of the claim table that is not a claim.
+        std::function<void(const Row &)> otherRow;
     };
 
     Leases(StorePort store, TimerPort timers, Clock clock, LeaseHolder self, LeaseTimes times, Callbacks callbacks);
@@ -119,6 +121,9 @@
         std::uint64_t claimVersion = 0;
         std::uint64_t renewalVersion = 0;
         bool known = false;
+        /// The claim row was read, whether it exists or not.
+        bool read = false;
+        bool reading = false;
         // Used while this entry is the owner:
         bool held = false;
         bool renewing = false;
@@ -134,6 +139,8 @@
     void poll();
     void watchClaims();
     void readClaims();
+    void readAddedClaims();
+    void readClaim(const std::string &name);
     void onClaimRow(const Row &row);
     void onRenewalRow(const Row &row);
     void evaluateClaims();
@@ -155,6 +162,8 @@
     std::uint64_t m_renewalFeedVersion = 0;
     std::uint64_t m_claimFeedVersion = 0;
     bool m_claimsRead = false;
+    /// The claim feed was followed from its first change, so that a shard without a claim row has never been claimed.
+    bool m_claimHistoryComplete = false;
     bool m_stopping = false;
     Millis m_lastAnswerAt;
     /// The store's clock according to the last answered poll, and the boot time at which that poll was sent.
--- a/src/shards/rows.cpp
+++ b/src/shards/rows.cpp
@@ -9,29 +9,29 @@
 constexpr std::uint64_t submissionTables = 64;
 constexpr std::string_view cancellationSuffix = "/cancel";
 
-std::string submissionTable(std::string_view pool)
+std::string submissionTable(std::string_view shard)
 {
-    return "jobs-" + std::to_string(stableHash(pool) % submissionTables);
+    return "jobs-" + std::to_string(stableHash(shard) % submissionTables);
 }
 
-std::string submissionPart(std::string_view pool)
+std::string submissionPart(std::string_view shard)
 {
-    return "jobs/" + std::string(pool);
+    return "jobs/" + std::string(shard);
 }
 
-RowKey submissionKey(std::string_view pool, std::string_view job)
+RowKey submissionKey(std::string_view shard, std::string_view job)
 {
-    return {submissionTable(pool), submissionPart(pool), std::string(job)};
+    return {submissionTable(shard), submissionPart(shard), std::string(job)};
 }
 
-RowKey cancellationKey(std::string_view pool, std::string_view job)
+RowKey cancellationKey(std::string_view shard, std::string_view job)
 {
-    return {submissionTable(pool), submissionPart(pool), std::string(job) + std::string(cancellationSuffix)};
+    return {submissionTable(shard), submissionPart(shard), std::string(job) + std::string(cancellationSuffix)};
 }
 
-RowKey progressKey(std::string_view pool, std::string_view job)
+RowKey progressKey(std::string_view shard, std::string_view job)
 {
-    return {progressTable, std::string(pool), std::string(job)};
+    return {progressTable, std::string(shard), std::string(job)};
 }
 
 std::string_view cancelledJob(std::string_view key)
--- a/src/shards/rows.hpp
+++ b/src/shards/rows.hpp
@@ -9,17 +9,17 @@
 namespace hibiscusbridge::jobs
 {
 
-/// Table of the pool's submissions and cancellations, which any entry may write. Pools share a limited number of tables,
+/// Table of the shard's submissions and cancellations, which any entry may write. Shards share a limited number of tables,
 /// because the store allows 100 tables; more than one table is used because a feed delivers a whole table.
-std::string submissionTable(std::string_view pool);
+std::string submissionTable(std::string_view shard);
 /// Submissions have a separate part, so that a burst of them does not delay the owner's progress records.
-std::string submissionPart(std::string_view pool);
-/// Table of job progress, written by the owner of the pool's shard.
+std::string submissionPart(std::string_view shard);
+/// Table of job progress, written by the owner of the shard.
 inline constexpr const char *progressTable = "progress";
 
-RowKey submissionKey(std::string_view pool, std::string_view job);
-RowKey cancellationKey(std::string_view pool, std::string_view job);
-RowKey progressKey(std::string_view pool, std::string_view job);
+RowKey submissionKey(std::string_view shard, std::string_view job);
+RowKey cancellationKey(std::string_view shard, std::string_view job);
+RowKey progressKey(std::string_view shard, std::string_view job);
 /// Returns the job id in the key of a cancellation; empty for the key of a submission.
 std::string_view cancelledJob(std::string_view key);
 
--- a/src/upkeep/fleetowner.cpp
+++ b/src/upkeep/fleetowner.cpp
@@ -11,6 +11,8 @@
 
 constexpr const char *waveTable = "waves";
 constexpr Millis loadRetryDelay{300};
+/// A new fleet whose VMs can't be listed for this long is not divided, since no job is accepted before the division is known.
+constexpr Millis maxListDelay{3'000};
 /// Older reports are not used for planning.
 constexpr Millis maxReportAge{1'500};
 /// A pool returns VMs after a surplus of this duration: keeping a VM for this long costs about as much as moving it away
@@ -35,6 +37,7 @@
 
 void FleetOwner::start()
 {
+    m_startedAt = m_ports.clock.boot();
     load();
 }
 
@@ -120,12 +123,18 @@
         }
         m_listPending = false;
         if (!result.answered) {
+            if (m_ports.cells().count == 0 && m_ports.clock.boot() - m_startedAt > maxListDelay) {
+                m_ports.vmsCounted(0);
+            }
             return logEvent(LogLevel::Warn, "vm_list_failed", {{"error", result.error}});
         }
         m_fleet.vms.clear();
         for (const auto &it : result.vms) {
             m_fleet.vms[it.vm] = it;
         }
+        if (m_ports.cells().count == 0) {
+            m_ports.vmsCounted(m_fleet.vms.size());
+        }
         std::erase_if(m_acceptedAt, [&](const auto &it) {
             const auto listed = m_fleet.vms.find(it.first);
             return it.second < requestedAt && (listed == m_fleet.vms.end() || listed->second.state == VmState::Up);
@@ -149,7 +158,7 @@
                 m_fleet.idlePools.insert(listed.pool);
             }
         }
-        if (m_ports.mayAct()) {
+        if (m_ports.mayAct() && m_ports.cells().count > 0) {
             reconcile();
         }
     });
@@ -196,11 +205,17 @@
     requestReports();
 }
 
-std::set<std::string> FleetOwner::cordonedVms(const std::string &pool) const
+std::string FleetOwner::shardOf(const std::string &pool, const std::string &vm) const
+{
+    const auto cells = m_ports.cells();
+    return shardName(cells, pool, cellOf(cells, vm));
+}
+
+std::set<std::string> FleetOwner::cordonedVms(const std::string &shard) const
 {
     std::set<std::string> names;
     const auto add = [&](const std::string &vm) {
-        if (const auto listed = m_fleet.vms.find(vm); listed != m_fleet.vms.end() && listed->second.pool == pool) {
+        if (const auto listed = m_fleet.vms.find(vm); listed != m_fleet.vms.end() && shardOf(listed->second.pool, vm) == shard) {
             names.insert(vm);
         }
     };
@@ -218,9 +233,16 @@
 
 void FleetOwner::requestReports()
 {
+    const auto cells = m_ports.cells();
+    std::set<std::string> shards;
     for (const auto &pool : m_ports.activePools()) {
-        const auto names = cordonedVms(pool);
-        m_ports.requestReport(pool, names, [this, alive = m_alive, pool, names](const std::optional<PoolReport> &report) {
+        for (int cell = 0; cell < cells.count; ++cell) {
+            shards.insert(shardName(cells, pool, cell));
+        }
+    }
+    for (const auto &shard : shards) {
+        const auto names = cordonedVms(shard);
+        m_ports.requestReport(shard, names, [this, alive = m_alive, shard, names](const std::optional<PoolReport> &report) {
             if (!*alive) {
                 return;
             }
@@ -232,7 +254,7 @@
                 }
             }
             if (report) {
-                auto &received = m_reports[pool];
+                auto &received = m_reports[shard];
                 received.report = *report;
                 received.at = m_ports.clock.boot();
             }
@@ -247,62 +269,87 @@
     return it != report.vms.end() ? it->second.runs : -1;
 }
 
-/// Starts the moves that demand requires and drops planned moves that it no longer requires.
-void FleetOwner::updateMoves()
+PoolDemand FleetOwner::demandOf(const std::string &pool, int cell, const MoveSettings &settings)
 {
     const auto now = m_ports.clock.boot();
-    MoveSettings settings;
-    settings.maxMoves = std::max(settings.maxMoves, static_cast<int>(m_fleet.vms.size()) / settings.vmsPerMove);
+    const auto cells = m_ports.cells();
+    auto &received = m_reports[shardName(cells, pool, cell)];
+    PoolDemand demand{.report = received.report};
+    for (const auto &[vm, listed] : m_fleet.vms) {
+        if (cellOf(cells, vm) != cell) {
+            continue;
+        }
+        const auto active = m_activeMoves.find(vm);
+        if (active != m_activeMoves.end()) {
+            if (active->second.move.to == pool) {
+                ++demand.arriving;
+            }
+            demand.report.vms.erase(vm);
+            continue;
+        }
+        if (m_fleet.draining.contains(vm)) {
+            demand.report.vms.erase(vm); // Provides no capacity until its maintenance is complete.
+            continue;
+        }
+        if (listed.pool == pool && listed.state != VmState::Down) {
+            demand.vmCpu = listed.capacity.cpuMilli;
+            // Returning from maintenance, or up but not yet contacted by the owner of the pool.
+            demand.arriving += received.report.vms.contains(vm) ? 0 : 1;
+        }
+    }
+    const int have = static_cast<int>(demand.report.vms.size()) + demand.arriving;
+    const int need = neededVms(demand, settings);
+    received.averageVms = received.averageVms < 1 ? have : received.averageVms + (need - received.averageVms) * averageWeight;
+    demand.averageVms = static_cast<int>(std::lround(received.averageVms));
+    const bool surplus = have > need;
+    received.surplusSince = !surplus ? Millis{} : received.surplusSince.count == 0 ? now : received.surplusSince;
+    demand.sustainedSurplus = surplus && now - received.surplusSince > surplusReleaseDelay;
+    return demand;
+}
+
+FleetDemand FleetOwner::demandOf(int cell, const MoveSettings &settings)
+{
+    const auto cells = m_ports.cells();
     FleetDemand fleet;
+    for (const auto &it : m_ports.standbyPools()) {
+        fleet.standby[it] = {};
+    }
     for (const auto &[vm, listed] : m_fleet.vms) {
+        if (cellOf(cells, vm) != cell) {
+            continue;
+        }
         const bool free = listed.state == VmState::Up && !m_activeMoves.contains(vm);
-        if (m_ports.isIdle(listed.pool) && m_ports.isStandby(listed.pool)) {
-            auto &vms = fleet.standby[listed.pool];
-            if (free) {
-                vms.push_back(vm);
-            }
+        if (const auto standby = fleet.standby.find(listed.pool); free && standby != fleet.standby.end()) {
+            standby->second.push_back(vm);
         }
         if (!free || m_fleet.draining.contains(vm) || m_fleet.inMaintenance.contains(vm)) {
             fleet.pinned.insert(vm);
         }
     }
-    for (auto &[pool, received] : m_reports) {
-        if (now - received.at > maxReportAge || !m_ports.activePools().contains(pool)) {
-            continue;
-        }
-        auto &demand = fleet.pools[pool];
-        demand.report = received.report;
-        for (const auto &[vm, listed] : m_fleet.vms) {
-            const auto active = m_activeMoves.find(vm);
-            if (active != m_activeMoves.end()) {
-                if (active->second.move.to == pool) {
-                    ++demand.arriving;
-                }
-                demand.report.vms.erase(vm);
-                continue;
-            }
-            if (m_fleet.draining.contains(vm)) {
-                demand.report.vms.erase(vm); // Provides no capacity until its maintenance is complete.
-                continue;
-            }
-            if (listed.pool == pool && listed.state != VmState::Down) {
-                demand.vmCpu = listed.capacity.cpuMilli;
-                // Returning from maintenance, or up but not yet contacted by the owner of the pool.
-                demand.arriving += received.report.vms.contains(vm) ? 0 : 1;
-            }
+    for (const auto &pool : m_ports.activePools()) {
+        const auto received = m_reports.find(shardName(cells, pool, cell));
+        if (received != m_reports.end() && m_ports.clock.boot() - received->second.at <= maxReportAge) {
+            fleet.pools[pool] = demandOf(pool, cell, settings);
         }
-        const int have = static_cast<int>(demand.report.vms.size()) + demand.arriving;
-        const int need = neededVms(demand, settings);
-        received.averageVms = received.averageVms < 1 ? have : received.averageVms + (need - received.averageVms) * averageWeight;
-        demand.averageVms = static_cast<int>(std::lround(received.averageVms));
-        const bool surplus = have > need;
-        received.surplusSince = !surplus ? Millis{} : received.surplusSince.count == 0 ? now : received.surplusSince;
-        demand.sustainedSurplus = surplus && now - received.surplusSince > surplusReleaseDelay;
     }
     fleet.planned = m_plannedMoves;
-    m_plannedMoves = planMoves(fleet, settings);
+    return fleet;
+}
+
+/// Starts the moves that demand requires and drops planned moves that it no longer requires. VMs stay in their cell.
+void FleetOwner::updateMoves()
+{
+    const auto cells = m_ports.cells();
+    MoveSettings settings;
+    settings.maxMoves = std::max(settings.maxMoves, static_cast<int>(m_fleet.vms.size()) / settings.vmsPerMove) / cells.count;
+    std::vector<VmMove> planned;
+    for (int cell = 0; cell < cells.count; ++cell) {
+        const auto moves = planMoves(demandOf(cell, settings), settings);
+        planned.insert(planned.end(), moves.begin(), moves.end());
+    }
+    m_plannedMoves = std::move(planned);
     for (const auto &it : std::vector<VmMove>(m_plannedMoves)) {
-        const auto received = m_reports.find(it.from);
+        const auto received = m_reports.find(shardOf(it.from, it.vm));
         const bool idle = received != m_reports.end() && runCount(received->second.report, it.vm) == 0;
         if (idle || m_ports.isIdle(it.from) || m_fleet.drained.contains(it.vm)) {
             beginMove(it);
@@ -318,7 +365,8 @@
         return sendMove(move);
     }
     // The pool keeps the VM cordoned once it has answered.
-    m_ports.requestReport(move.from, cordonedVms(move.from), [this, alive = m_alive, move](const std::optional<PoolReport> &report) {
+    const auto shard = shardOf(move.from, move.vm);
+    m_ports.requestReport(shard, cordonedVms(shard), [this, alive = m_alive, move](const std::optional<PoolReport> &report) {
         if (!*alive) {
             return;
         }
@@ -416,9 +464,10 @@
     if (m_fleet.idlePools.contains(pool)) {
         return sendMaintenance(vm, wave);
     }
-    auto names = cordonedVms(pool);
+    const auto shard = shardOf(pool, vm);
+    auto names = cordonedVms(shard);
     names.insert(vm);
-    m_ports.requestReport(pool, names, [this, alive = m_alive, vm, wave](const std::optional<PoolReport> &report) {
+    m_ports.requestReport(shard, names, [this, alive = m_alive, vm, wave](const std::optional<PoolReport> &report) {
         if (!*alive) {
             return;
         }
--- a/src/upkeep/fleetowner.hpp
+++ b/src/upkeep/fleetowner.hpp
@@ -1,6 +1,7 @@
 // Carries out maintenance waves and moves of VMs while this entry owns the fleet shard.
 #pragma once
 
+#include "model/cells.hpp"
 #include "ports/store.hpp"
 #include "ports/timer.hpp"
 #include "ports/vms.hpp"
@@ -42,9 +43,13 @@
         std::function<const std::map<std::int64_t, Wave> &()> waves;
         /// Whether the pool has no queue.
         std::function<bool(const std::string &pool)> isIdle;
-        std::function<bool(const std::string &pool)> isStandby;
+        /// Standby pools without a queue.
+        std::function<std::set<std::string>()> standbyPools;
         /// Pools with a queue.
         std::function<std::set<std::string>()> activePools;
+        std::function<Cells()> cells;
+        /// Called with each list of VMs while the number of cells is not known.
+        std::function<void(std::size_t vms)> vmsCounted;
         std::function<RowPut(std::int64_t wave, bool completed)> waveStatus;
         RequestReport requestReport;
         std::function<void(const std::string &reason)> superseded;
@@ -75,10 +80,15 @@
     void reconcile();
     void requestReports();
     void updateMoves();
+    FleetDemand demandOf(int cell, const MoveSettings &settings);
+    PoolDemand demandOf(const std::string &pool, int cell, const MoveSettings &settings);
+    /// Shard of the pool to which the VM belongs.
+    std::string shardOf(const std::string &pool, const std::string &vm) const;
     void beginMove(const VmMove &move);
     void sendMove(const VmMove &move);
     void onMoveResult(const VmMove &move, Millis sentAt, VmActionOutcome outcome);
-    std::set<std::string> cordonedVms(const std::string &pool) const;
+    /// VMs of the shard that its owner has to keep cordoned.
+    std::set<std::string> cordonedVms(const std::string &shard) const;
     void saveProgress(std::int64_t wave);
     void requestMaintenance(const std::string &vm, std::int64_t wave);
     void sendMaintenance(const std::string &vm, std::int64_t wave);
@@ -94,7 +104,7 @@
     std::map<std::string, Millis> m_acceptedAt;
     /// VMs with an unanswered maintenance request.
     std::set<std::string> m_pendingMaintenance;
-    /// Latest report of a pool with its time of receipt.
+    /// Latest report of a pool's shard with its time of receipt.
     struct ReceivedReport {
         PoolReport report;
         Millis at;
@@ -114,6 +124,7 @@
     };
     std::map<std::string, ActiveMove> m_activeMoves;
     bool m_loaded = false;
+    Millis m_startedAt;
     bool m_listPending = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/upkeep/poolreport.hpp
+++ b/src/upkeep/poolreport.hpp
@@ -48,8 +48,8 @@
 /// Returns nothing when the text is not a valid report.
 std::optional<PoolReport> decodeReport(std::string_view text);
 
-/// Requests the report of a pool from its owner, which also cordons the given VMs. Yields nothing on failure or time-out.
+/// Requests the report of a pool's shard from its owner, which also cordons the given VMs. Yields nothing on failure or time-out.
 using RequestReport =
-    std::function<void(const std::string &pool, const std::set<std::string> &cordonedVms, std::function<void(std::optional<PoolReport>)>)>;
+    std::function<void(const std::string &shard, const std::set<std::string> &cordonedVms, std::function<void(std::optional<PoolReport>)>)>;
 
 } // namespace hibiscusbridge::jobs
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -41,8 +41,10 @@
     return {std::string(platform::workerTable), "", id};
 }
 
-JobCluster::JobCluster(int entries, int workerCount)
+JobCluster::JobCluster(int entries, int workerCount, int cells)
+    : m_cells{cells}
 {
+    store.put({claimTable, fleetShard, "cells"}, nlohmann::json{{"cells", cells}}.dump());
     // The tests run thousands of simulated clusters; info logs would flood the output.
     setupLog(std::getenv("JOBS_SEED") ? "info" : "error", "test");
     m_configuration.version = 1;
@@ -106,16 +108,18 @@
                                                          done(std::nullopt);
                                                      }});
     auto *const host = entry.host.get();
-    entry.intake = std::make_unique<Intake>(Intake::Ports{.store = store.port(name),
-                                                          .timers = loop.timers(),
-                                                          .clock = loop.clock(),
-                                                          .configuration = [host] { return host->configuration(); },
-                                                          .queuedJobs = [host](const Queue &queue) { return host->queuedJobs(queue); },
-                                                          .admit = [](const Queue &, const JobSpec &) { return Admission{}; },
-                                                          .unavailable =
-                                                              [] {
-                                                                  return std::string();
-                                                              }});
+    entry.intake = std::make_unique<Intake>(
+        Intake::Ports{.store = store.port(name),
+                      .timers = loop.timers(),
+                      .clock = loop.clock(),
+                      .configuration = [host] { return host->configuration(); },
+                      .queuedJobs = [host](const Queue &queue) { return host->queuedJobs(queue); },
+                      .admit = [](const Queue &, const JobSpec &) { return Admission{}; },
+                      .shardOf = [host](const std::string &pool, const std::string &job) { return host->shardOf(pool, job); },
+                      .unavailable =
+                          [] {
+                              return std::string();
+                          }});
     host->setConfiguration(m_configuration);
     host->start();
 }
@@ -130,10 +134,10 @@
     m_entries.at(name).host->stop([] {});
 }
 
-std::string JobCluster::owner() const
+std::string JobCluster::owner(int cell) const
 {
     for (const auto &[name, entry] : m_entries) {
-        if (entry.host->leases().holds(poolName)) {
+        if (entry.host->leases().holds(shardName(m_cells, poolName, cell))) {
             return name;
         }
     }
@@ -181,7 +185,8 @@
 
 JobPhase JobCluster::phaseOf(const std::string &id) const
 {
-    return decodePhase(store.value(progressKey(poolName, id))).value_or(JobPhase::Queued);
+    const auto shard = shardName(m_cells, poolName, cellOf(m_cells, id));
+    return decodePhase(store.value(progressKey(shard, id))).value_or(JobPhase::Queued);
 }
 
 bool JobCluster::allFinal() const
--- a/tests/unit/jobcluster.hpp
+++ b/tests/unit/jobcluster.hpp
@@ -24,16 +24,16 @@
 class JobCluster
 {
 public:
-    /// Starts `entries` entries and registers `workers` workers of 8 cores in the pool `pool`.
-    JobCluster(int entries, int workers);
+    /// Starts `entries` entries and registers `workers` workers of 8 cores in the pool `pool`, which is divided into cells.
+    JobCluster(int entries, int workers, int cells = 1);
     ~JobCluster();
 
     void startEntry(const std::string &name);
     /// Destroys the entry without a graceful shutdown.
     void killEntry(const std::string &name);
     void stopEntry(const std::string &name);
-    /// Name of the entry that owns the pool; empty if no entry does.
-    std::string owner() const;
+    /// Name of the entry that owns the pool's shard of this cell; empty if no entry does.
+    std::string owner(int cell = 0) const;
     /// Submits the job through an entry; the response is stored in `answers` under the job id.
     void submit(const std::string &entry, const JobSpec &spec);
     void cancel(const std::string &entry, const std::string &id);
@@ -59,6 +59,7 @@
     };
 
     Configuration m_configuration;
+    Cells m_cells;
     std::map<std::string, Entry> m_entries;
 };
 
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -273,8 +273,9 @@
 TEST_CASE("all jobs of a pool complete after its owner is killed, stopped or partitioned from the store")
 {
     const auto fault = GENERATE(std::string("kill"), std::string("stop"), std::string("cut"));
-    CAPTURE(fault);
-    JobCluster cluster(3, 4);
+    const auto cells = GENERATE(1, 2);
+    CAPTURE(fault, cells);
+    JobCluster cluster(3, 8, cells);
     cluster.loop.advance(startupTime);
     for (int i = 0; i < 12; ++i) {
         cluster.submit("e" + std::to_string(i % 3), twoStepJob(i));
@@ -362,7 +363,7 @@
     return text ? static_cast<unsigned>(std::atoi(text)) : fallback;
 }
 
-static void runOverlappingFaults(unsigned seed);
+static void runOverlappingFaults(unsigned seed, int cells);
 
 TEST_CASE("overlapping faults lead to no repeated, misordered or lost run")
 {
@@ -370,24 +371,75 @@
     const auto first = envNumber("JOBS_SEED", 1);
     const auto last = envNumber("JOBS_SEED", envNumber("JOBS_SEEDS", 40));
     for (unsigned seed = first; seed <= last; ++seed) {
-        runOverlappingFaults(seed);
+        runOverlappingFaults(seed, 1);
     }
 }
 
+TEST_CASE("overlapping faults in a divided pool lead to no repeated, misordered or lost run")
+{
+    const auto first = envNumber("JOBS_SEED", 1);
+    const auto last = envNumber("JOBS_SEED", envNumber("JOBS_SEEDS", 30));
+    for (unsigned seed = first; seed <= last; ++seed) {
+        runOverlappingFaults(seed, 3);
+    }
+}
+
+TEST_CASE("the jobs of a divided pool run in their own cells and are found at every entry")
+{
+    JobCluster cluster(4, 9, 3);
+    cluster.loop.advance(startupTime);
+    std::set<std::string> owners;
+    for (int cell = 0; cell < 3; ++cell) {
+        owners.insert(cluster.owner(cell));
+    }
+    CHECK_FALSE(owners.contains(""));
+    CHECK(owners.size() > 1);
+    for (int i = 0; i < 24; ++i) {
+        cluster.submit("e" + std::to_string(i % 4), twoStepJob(i));
+    }
+    cluster.loop.advance({12'000});
+    CHECK(cluster.accepted.size() == 24);
+    for (int i = 0; i < 24; ++i) {
+        CHECK(cluster.readState("e" + std::to_string((i + 1) % 4), jobId(i)).phase == JobPhase::Completed);
+    }
+    CHECK(cluster.readQueue("e0").queued == 0);
+    CHECK(cluster.workers.starts == 24 * 5);
+    INFO(joined(cluster.workers.violations));
+    CHECK(cluster.workers.violations.empty());
+}
+
+TEST_CASE("an entry that starts after the history was lost learns the division and the owners without claiming")
+{
+    JobCluster cluster(3, 6, 2);
+    cluster.loop.advance(startupTime);
+    const auto before = std::make_pair(cluster.owner(0), cluster.owner(1));
+    cluster.store.discardHistory();
+    const auto version = cluster.store.version();
+    cluster.startEntry("late");
+    cluster.loop.advance({1'500});
+    CHECK(std::make_pair(cluster.owner(0), cluster.owner(1)) == before);
+    CHECK(cluster.store.version() >= version);
+    cluster.submit("late", twoStepJob(1));
+    cluster.loop.advance({3'000});
+    CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Completed);
+}
+
 TEST_CASE("a start of a former owner is not carried out on a restarted worker")
 {
-    // Seed 100: a delayed start reaches its worker after a restart, in which the worker has lost the highest fencing token seen.
-    runOverlappingFaults(100);
+    // In these seeds a delayed start reaches its worker after a restart, in which the worker has lost the highest fencing token seen.
+    runOverlappingFaults(100, 1);
+    runOverlappingFaults(180, 1);
+    runOverlappingFaults(166, 3);
 }
 
-static void runOverlappingFaults(unsigned seed)
+static void runOverlappingFaults(unsigned seed, int cells)
 {
     CAPTURE(seed);
     std::mt19937 random(seed);
     const auto pick = [&](int n) {
         return static_cast<int>(random() % static_cast<unsigned>(n));
     };
-    JobCluster cluster(4, 5);
+    JobCluster cluster(4, cells == 1 ? 5 : 9, cells);
     cluster.workers.durationPercent = 50 + pick(200);
     cluster.loop.advance(startupTime);
     std::map<std::string, Millis> down;
--- a/tests/unit/malformed_test.cpp
+++ b/tests/unit/malformed_test.cpp
@@ -285,6 +285,9 @@
         return waves;
     };
     ports.waveStatus = platform::encodeWaveStatus;
+    ports.cells = [] {
+        return Cells{1};
+    };
     FleetOwner owner(1, {}, std::move(ports));
     owner.start();
     loop.advance({1'000});
