Read worker rows at most five times a second

Cause: every worker writes its row with each heartbeat, so the feed of an owner of a shard returned with one or two rows about 150 times a second.

Change: an owner waits 200 ms between an answer of that feed and the next request.

--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -11,6 +11,8 @@
 constexpr Millis feedWait{1'500};
 constexpr Millis feedTimeout{1'900};
 constexpr Millis readTimeout{1'500};
+/// Every worker writes its row with each heartbeat, so that without a pause each answer would hold one or two rows.
+constexpr Millis workerFeedInterval{200};
 constexpr Millis retryDelay{200};
 
 TableFollower::TableFollower(StorePort store, TimerPort timers, Clock clock, std::string table, std::string part, Callbacks callbacks)
@@ -106,9 +108,17 @@
         if (!result.rows.empty()) {
             m_callbacks.changed(std::move(result.rows));
         }
-        if (*alive) {
-            follow();
+        if (!*alive) {
+            return;
         }
+        if (m_callbacks.interval.count == 0) {
+            return follow();
+        }
+        m_timers.after(m_callbacks.interval, [this, alive] {
+            if (*alive) {
+                follow();
+            }
+        });
     });
 }
 
@@ -134,7 +144,8 @@
                               applyRow(it);
                           }
                           m_ports.changed();
-                      }})
+                      },
+                  .interval = workerFeedInterval})
 {
     m_follower.start();
 }
--- a/src/shards/workerdirectory.hpp
+++ b/src/shards/workerdirectory.hpp
@@ -25,6 +25,8 @@
         std::function<void(std::vector<Row>)> replaced;
         /// Receives the rows of the followed part that have changed.
         std::function<void(std::vector<Row>)> changed;
+        /// Minimum time between an answer of the feed and the next request.
+        Millis interval{};
     };
 
     TableFollower(StorePort store, TimerPort timers, Clock clock, std::string table, std::string part, Callbacks callbacks);
