Pack long-running subtasks and keep those of a pool in one cell

Cause: long-running subtasks were spread over all VMs of their pool, and a VM with one of them can't be moved.

Change: they go to the workers that already run others, and all long-running jobs of a pool go to one of its cells. Their state and cancellation are looked for in the cell of the id first, then in that cell, which costs two more reads for those jobs and for unknown ids only.

--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -63,8 +63,8 @@
         logEvent(LogLevel::Warn, "call_refused", {{"job", id}, {"route", queue->name}, {"reason", reason}});
         return done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = std::move(reason)});
     }
-    const auto shard = m_ports.shardOf(queue->pool, id);
-    if (shard.empty()) {
+    auto shards = m_ports.shardsOf(queue->pool, id);
+    if (shards.empty()) {
         return done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the division of the fleet is not known yet"});
     }
     ++m_inFlight;
@@ -75,13 +75,14 @@
         done(std::move(answer));
     };
     if (call.kind == CallKind::Submit) {
-        return submit(*queue, shard, id, std::move(call), std::move(counted));
+        return submit(*queue, shards, id, std::move(call), std::move(counted));
     }
     if (call.kind == CallKind::Read) {
-        return readState(shard, id, std::move(counted));
+        return readState(std::move(shards), id, std::move(counted));
     }
     auto attempt = std::make_shared<Attempt>();
-    attempt->shard = shard;
+    attempt->shard = shards.front();
+    attempt->otherShards.assign(shards.begin() + 1, shards.end());
     attempt->id = id;
     attempt->startedAt = m_ports.clock.boot();
     attempt->deadline = attempt->startedAt + std::max(call.callerTimeout - answerMargin, answerMargin);
@@ -89,7 +90,7 @@
     cancel(attempt);
 }
 
-void Intake::submit(const Queue &queue, const std::string &shard, const std::string &id, Call call, Done done)
+void Intake::submit(const Queue &queue, std::span<const std::string> shards, const std::string &id, Call call, Done done)
 {
     if (!call.job.ok()) {
         logEvent(LogLevel::Info, "job_invalid", {{"job", id}, {"route", queue.name}, {"reason", std::string(call.job.status().message())}});
@@ -107,7 +108,7 @@
         return done({.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
     }
     auto attempt = std::make_shared<Attempt>();
-    attempt->shard = shard;
+    attempt->shard = isLongRunning(spec) ? shards.back() : shards.front();
     attempt->id = id;
     attempt->value = encodeSpec(spec);
     attempt->startedAt = m_ports.clock.boot();
@@ -166,36 +167,44 @@
     });
 }
 
-void Intake::readState(const std::string &shard, const std::string &id, Done done)
+void Intake::readState(std::vector<std::string> shards, const std::string &id, Done done)
 {
+    const auto shard = shards.front();
+    shards.erase(shards.begin());
     const auto key = progressKey(shard, id);
     const auto fail = [id, done](const std::string &error) {
         logEvent(LogLevel::Warn, "state_not_read", {{"job", id}, {"reason", "store: " + error}});
         done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
     };
-    m_ports.store.read(
-        {key.table, key.part, key.key, key.key + '\x01', 1},
-        readTimeout,
-        [this, alive = m_alive, shard, id, done, fail](const ReadResult &result) {
-            if (!*alive || result.outcome != ReadOutcome::Answered) {
-                return fail(result.error);
-            }
-            if (!result.rows.empty()) {
-                const auto phase = decodePhase(result.rows.front().value);
-                if (!phase) {
-                    return fail("invalid progress record");
-                }
-                return done({.kind = AnswerKind::State, .phase = *phase});
-            }
-            const auto submission = submissionKey(shard, id);
-            m_ports.store.read({submission.table, submission.part, id, id + '\x01', 1}, readTimeout, [done, fail](const ReadResult &row) {
-                if (row.outcome != ReadOutcome::Answered) {
-                    return fail(row.error);
-                }
-                done(
-                    {.kind = row.rows.empty() ? AnswerKind::NoJob : AnswerKind::State, .phase = JobPhase::Queued, .reason = "no such job"});
-            });
-        });
+    m_ports.store.read({key.table, key.part, key.key, key.key + '\x01', 1},
+                       readTimeout,
+                       [this, alive = m_alive, shard, shards, id, done, fail](const ReadResult &result) {
+                           if (!*alive || result.outcome != ReadOutcome::Answered) {
+                               return fail(result.error);
+                           }
+                           if (!result.rows.empty()) {
+                               const auto phase = decodePhase(result.rows.front().value);
+                               if (!phase) {
+                                   return fail("invalid progress record");
+                               }
+                               return done({.kind = AnswerKind::State, .phase = *phase});
+                           }
+                           const auto submission = submissionKey(shard, id);
+                           m_ports.store.read({submission.table, submission.part, id, id + '\x01', 1},
+                                              readTimeout,
+                                              [this, alive, shards, id, done, fail](const ReadResult &row) {
+                                                  if (!*alive || row.outcome != ReadOutcome::Answered) {
+                                                      return fail(row.error);
+                                                  }
+                                                  if (!row.rows.empty()) {
+                                                      return done({.kind = AnswerKind::State, .phase = JobPhase::Queued});
+                                                  }
+                                                  if (!shards.empty()) {
+                                                      return readState(shards, id, done);
+                                                  }
+                                                  done({.kind = AnswerKind::NoJob, .reason = "no such job"});
+                                              });
+                       });
 }
 
 void Intake::cancel(std::shared_ptr<Attempt> attempt)
@@ -213,10 +222,15 @@
                 logEvent(LogLevel::Warn, "cancel_refused", {{"job", attempt->id}, {"reason", "store: " + result.error}});
                 return attempt->done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
             }
-            if (result.rows.empty()) {
+            if (!result.rows.empty()) {
+                return tryCancel(attempt);
+            }
+            if (attempt->otherShards.empty()) {
                 return attempt->done({.kind = AnswerKind::NoJob, .reason = "no such job"});
             }
-            tryCancel(attempt);
+            attempt->shard = attempt->otherShards.front();
+            attempt->otherShards.erase(attempt->otherShards.begin());
+            cancel(attempt);
         });
 }
 
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -9,7 +9,9 @@
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace hibiscusbridge::jobs
 {
@@ -72,8 +74,9 @@
         /// Number of queued jobs as last published by the owner of the queue's pool; negative if unknown.
         std::function<int(const Queue &)> queuedJobs;
         std::function<Admission(const Queue &, const JobSpec &)> admit;
-        /// Shard of the pool that the job belongs to; empty if it is not known yet.
-        std::function<std::string(const std::string &pool, const std::string &job)> shardOf;
+        /// Shards of the pool to which a job of this id may belong: the shard of jobs that end, then the shard of long-running jobs.
+        /// Empty if the division of the fleet is not known yet.
+        std::function<std::vector<std::string>(const std::string &pool, const std::string &job)> shardsOf;
         /// Returns the reason why this entry cannot serve calls at present, or an empty string if it can.
         std::function<std::string()> unavailable;
     };
@@ -92,6 +95,8 @@
 private:
     struct Attempt {
         std::string shard;
+        /// Shards in which the job is looked for after `shard`; only used by cancellations.
+        std::vector<std::string> otherShards;
         std::string id;
         std::string value;
         Millis startedAt;
@@ -102,9 +107,10 @@
         Done done;
     };
 
-    void submit(const Queue &queue, const std::string &shard, const std::string &id, Call call, Done done);
+    void submit(const Queue &queue, std::span<const std::string> shards, const std::string &id, Call call, Done done);
     void tryStore(std::shared_ptr<Attempt> attempt);
-    void readState(const std::string &shard, const std::string &id, Done done);
+    /// Reads the job's state from the first of the shards that has it.
+    void readState(std::vector<std::string> shards, const std::string &id, Done done);
     void cancel(std::shared_ptr<Attempt> attempt);
     void tryCancel(std::shared_ptr<Attempt> attempt);
     void retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>));
--- a/src/model/cells.cpp
+++ b/src/model/cells.cpp
@@ -23,6 +23,11 @@
     return static_cast<int>(stableHash(id) % static_cast<std::uint64_t>(std::max(cells.count, 1)));
 }
 
+int longRunningCell(const Cells &cells, std::string_view pool)
+{
+    return cellOf(cells, pool);
+}
+
 std::string shardName(const Cells &cells, std::string_view pool, int cell)
 {
     return cells.count <= 1 ? std::string(pool) : std::string(pool) + "/" + std::to_string(cell);
--- a/src/model/cells.hpp
+++ b/src/model/cells.hpp
@@ -20,9 +20,13 @@
 /// Number of cells for a fleet of this many VMs and pools with a queue. Decided once, when the system first starts.
 Cells cellsFor(std::size_t vms, std::size_t pools);
 
-/// Cell of a VM or a job, from 0. The number of cells must be known.
+/// Cell of a VM or of a job that ends, from 0. The number of cells must be known.
 int cellOf(const Cells &cells, std::string_view id);
 
+/// Cell of the pool's long-running jobs. They share one cell, since each cell that runs any of them needs as many VMs as the widest
+/// one has subtasks that must be kept apart.
+int longRunningCell(const Cells &cells, std::string_view pool);
+
 /// Name of a pool's shard; the name of the pool if there is only one cell.
 std::string shardName(const Cells &cells, std::string_view pool, int cell);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -143,7 +143,7 @@
         .configuration = [this] { return m_host.configuration(); },
         .queuedJobs = [this](const Queue &queue) { return m_host.queuedJobs(queue); },
         .admit = [](const Queue &, const JobSpec &) { return Admission{}; },
-        .shardOf = [this](const std::string &pool, const std::string &job) { return m_host.shardOf(pool, job); },
+        .shardsOf = [this](const std::string &pool, const std::string &job) { return m_host.shardsOf(pool, job); },
         .unavailable = [this] { return unavailableReason(); },
     };
 }
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -206,9 +206,16 @@
     });
 }
 
-std::string ShardHost::shardOf(const std::string &pool, const std::string &job) const
+std::vector<std::string> ShardHost::shardsOf(const std::string &pool, const std::string &job) const
 {
-    return m_cells.count > 0 ? shardName(m_cells, pool, cellOf(m_cells, job)) : std::string();
+    if (m_cells.count == 0) {
+        return {};
+    }
+    std::vector<std::string> shards{shardName(m_cells, pool, cellOf(m_cells, job))};
+    if (auto longRunning = shardName(m_cells, pool, longRunningCell(m_cells, pool)); longRunning != shards.front()) {
+        shards.push_back(std::move(longRunning));
+    }
+    return shards;
 }
 
 std::vector<WorkerRegistration> ShardHost::workersOf(const PoolShard &shard) const
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -76,8 +76,9 @@
     {
         return m_cells;
     }
-    /// Shard of the pool that runs the job; empty while the division of the fleet is not known.
-    std::string shardOf(const std::string &pool, const std::string &job) const;
+    /// Shards of the pool to which a job of this id may belong: the shard of jobs that end, then the shard of long-running jobs if it
+    /// is another one. Empty while the division of the fleet is not known.
+    std::vector<std::string> shardsOf(const std::string &pool, const std::string &job) const;
     const Leases &leases() const
     {
         return *m_leases;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -33,10 +33,10 @@
     }
     const auto used = worker.capacity.cpuMilli - worker.free.cpuMilli;
     const auto share = worker.capacity.cpuMilli > 0 ? used * 1000 / worker.capacity.cpuMilli : 1000;
-    // Long-running subtasks are spread. Others are packed onto the fullest workers, so that idle VMs can be moved or
-    // maintained.
-    const auto load = step.longRunning ? worker.serving : 0;
-    return std::make_tuple(worker.failurePenalty, farFromData || farFromSiblings, interference, load, step.longRunning ? share : -share);
+    // Packed onto the workers that already run long-running subtasks, and onto the fullest ones, so that idle VMs can be moved or
+    // maintained. A VM with a long-running subtask can't be moved to another pool.
+    const auto load = step.longRunning ? -worker.serving : 0;
+    return std::make_tuple(worker.failurePenalty, farFromData || farFromSiblings, interference, load, -share);
 }
 
 std::optional<std::size_t> chooseWorker(const StepSpec &step, std::span<const Candidate> workers, std::string_view siblingRack)
--- a/tests/unit/cells_test.cpp
+++ b/tests/unit/cells_test.cpp
@@ -66,6 +66,14 @@
             }
             loop.post([done = std::move(done), result = std::move(result)] { done(result); });
         };
+        ports.vms.move = [this](const std::string &,
+                                const std::string &,
+                                const VmActionHolder &,
+                                Millis,
+                                const std::function<bool()> &,
+                                std::function<void(VmActionOutcome)> done) {
+            loop.post([done = std::move(done)] { done(VmActionOutcome::Refused); });
+        };
         ports.decodeWorker = [](const Row &) {
             return std::nullopt;
         };
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -115,7 +115,7 @@
                       .configuration = [host] { return host->configuration(); },
                       .queuedJobs = [host](const Queue &queue) { return host->queuedJobs(queue); },
                       .admit = [](const Queue &, const JobSpec &) { return Admission{}; },
-                      .shardOf = [host](const std::string &pool, const std::string &job) { return host->shardOf(pool, job); },
+                      .shardsOf = [host](const std::string &pool, const std::string &job) { return host->shardsOf(pool, job); },
                       .unavailable =
                           [] {
                               return std::string();
@@ -185,8 +185,11 @@
 
 JobPhase JobCluster::phaseOf(const std::string &id) const
 {
-    const auto shard = shardName(m_cells, poolName, cellOf(m_cells, id));
-    return decodePhase(store.value(progressKey(shard, id))).value_or(JobPhase::Queued);
+    auto value = store.value(progressKey(shardName(m_cells, poolName, cellOf(m_cells, id)), id));
+    if (value.empty()) {
+        value = store.value(progressKey(shardName(m_cells, poolName, longRunningCell(m_cells, poolName)), id));
+    }
+    return decodePhase(value).value_or(JobPhase::Queued);
 }
 
 bool JobCluster::allFinal() const
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -408,6 +408,35 @@
     CHECK(cluster.workers.violations.empty());
 }
 
+TEST_CASE("long-running jobs of a divided pool share a cell and are found and cancelled by their id")
+{
+    JobCluster cluster(3, 9, 3);
+    auto step = makeStep(2, 1'000, {500});
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 9; ++i) {
+        cluster.submit("e" + std::to_string(i % 3), makeJob(jobId(i), {step}));
+    }
+    cluster.loop.advance({2'000});
+    int used = 0;
+    for (int i = 0; i < 9; ++i) {
+        CHECK(cluster.readState("e" + std::to_string((i + 1) % 3), jobId(i)).phase == JobPhase::Running);
+        CHECK(cluster.workers.runningOf(jobId(i)) == 2);
+        used += cluster.workers.runningOn("w" + std::to_string(i)) > 0 ? 1 : 0;
+    }
+    CHECK(used < 9);
+    for (int i = 0; i < 9; ++i) {
+        cluster.cancel("e" + std::to_string(i % 3), jobId(i));
+    }
+    cluster.loop.advance({2'000});
+    for (int i = 0; i < 9; ++i) {
+        CHECK(cluster.answers["cancel " + jobId(i)].kind == AnswerKind::Done);
+        CHECK(cluster.workers.runningOf(jobId(i)) == 0);
+    }
+    CHECK(cluster.readState("e0", jobId(99)).kind == AnswerKind::NoJob);
+}
+
 TEST_CASE("an entry that starts after the history was lost learns the division and the owners without claiming")
 {
     JobCluster cluster(3, 6, 2);
