--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -650,6 +650,20 @@
     return static_cast<std::int64_t>(static_cast<double>(work) * durationRatio(job.spec));
 }
 
+/// CPU of the unfinished subtasks that may run now, in thousandths of a core, for a job without repeated occurrences.
+static std::int64_t runnableCpu(const Job &job)
+{
+    std::int64_t cpu = 0;
+    const auto &open = job.openSubtasks[0];
+    for (std::size_t s = 0; s < open.size(); ++s) {
+        const auto &step = job.spec.steps[s];
+        const bool blocked =
+            std::any_of(step.after.begin(), step.after.end(), [&](int before) { return open[static_cast<std::size_t>(before)] > 0; });
+        cpu += blocked ? 0 : open[s] * reserved(step).cpuMilli;
+    }
+    return cpu;
+}
+
 PoolReport Pool::report(Millis now) const
 {
     PoolReport report;
@@ -676,7 +690,8 @@
         if (!isLongRunning(job->spec) && job->spec.times == 0) {
             const auto queued = queuedWorkOf(*job, 0, now - job->submittedAt);
             if (objectiveStatus(queued) == ObjectiveStatus::OnTime) {
-                report.urgentCpu += cpuForObjective(remainingWork(*job), queued.objective - queued.age);
+                const auto wanted = cpuForObjective(remainingWork(*job), queued.objective - queued.age);
+                report.urgentCpu += std::min(wanted, runnableCpu(*job));
             } else {
                 report.lateBacklog += remainingWork(*job);
             }
