Divide scarce VMs by need, and ignore expired work

Cause: a move needed a pool with more VMs than it needs. Work of jobs that have lost their value counted as need, too.

Change: while the needs exceed the fleet, VMs of long-running subtasks come first and the rest is divided so that each pool gets the same part of its need; a pool above its share gives VMs up, except for differences below a tenth. Expired jobs use what is left over.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -692,7 +692,7 @@
             if (objectiveStatus(queued) == ObjectiveStatus::OnTime) {
                 const auto wanted = cpuForObjective(remainingWork(*job), queued.objective - queued.age);
                 report.urgentCpu += std::min(wanted, runnableCpu(*job));
-            } else {
+            } else if (objectiveStatus(queued) == ObjectiveStatus::Late) {
                 report.lateBacklog += remainingWork(*job);
             }
         }
--- a/src/upkeep/moves.cpp
+++ b/src/upkeep/moves.cpp
@@ -2,6 +2,7 @@
 #include "upkeep/moves.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace hibiscusbridge::jobs
 {
@@ -15,19 +16,52 @@
     return pool.report.vms.empty() ? pool.vmCpu : sum / static_cast<std::int64_t>(pool.report.vms.size());
 }
 
-int neededVms(const PoolDemand &pool, const MoveSettings &settings)
+/// VMs for the CPU given in thousandths of a core, but at least those that the spread of long-running subtasks requires.
+static int vmsFor(const PoolDemand &pool, std::int64_t cpu, std::int64_t vmCpu, const MoveSettings &settings)
 {
-    const auto vmCpu = averageVmCpu(pool);
     const int minimum = pool.report.longRunningVms + settings.spareVms;
-    if (vmCpu <= 0) {
-        return minimum;
-    }
+    const int vms = vmCpu > 0 ? static_cast<int>((cpu + vmCpu - 1) / vmCpu) : 0;
+    return std::max(vms, minimum) + pool.report.longRunningWaiting;
+}
+
+/// VMs that the pool needs whatever else the fleet needs: those of its long-running subtasks.
+static int minimumVms(const PoolDemand &pool, const MoveSettings &settings)
+{
+    return vmsFor(pool, pool.report.longRunningCpu, averageVmCpu(pool), settings);
+}
+
+int neededVms(const PoolDemand &pool, const MoveSettings &settings)
+{
     const auto rise = std::max<std::int64_t>(pool.report.arrivingCpu - pool.report.previousArrivingCpu, 0);
     const auto arriving = pool.report.arrivingCpu + rise * settings.trendPercent / 100;
     const auto backlog = pool.report.urgentCpu + pool.report.lateBacklog * 1000 / settings.lateBacklogDrainMs;
     const auto work = std::max({arriving, backlog, pool.expectedCpu});
     const auto cpu = pool.report.longRunningCpu + work * (100 + settings.headroomPercent) / 100;
-    return std::max(static_cast<int>((cpu + vmCpu - 1) / vmCpu), minimum) + pool.report.longRunningWaiting;
+    return vmsFor(pool, cpu, averageVmCpu(pool), settings);
+}
+
+std::map<std::string, int> divideVms(const FleetDemand &fleet, const MoveSettings &settings)
+{
+    int supply = 0;
+    for (const auto &[pool, vms] : fleet.standby) {
+        supply += static_cast<int>(vms.size());
+    }
+    int minimum = 0;
+    int needed = 0;
+    for (const auto &[name, pool] : fleet.pools) {
+        supply += static_cast<int>(pool.report.vms.size()) + pool.arriving;
+        minimum += minimumVms(pool, settings);
+        needed += neededVms(pool, settings);
+    }
+    std::map<std::string, int> shares;
+    for (const auto &[name, pool] : fleet.pools) {
+        const int need = neededVms(pool, settings);
+        const int least = minimumVms(pool, settings);
+        const bool scarce = needed > supply && needed > minimum;
+        const int above = scarce ? std::max(supply - minimum, 0) * (need - least) / (needed - minimum) : need - least;
+        shares[name] = least + above;
+    }
+    return shares;
 }
 
 namespace
@@ -65,11 +99,16 @@
 
 std::vector<VmMove> planMoves(const FleetDemand &fleet, const MoveSettings &settings)
 {
+    const auto shares = divideVms(fleet, settings);
     std::vector<Balance> balances;
     balances.reserve(fleet.pools.size());
     for (const auto &[name, pool] : fleet.pools) {
         const int have = static_cast<int>(pool.report.vms.size()) + pool.arriving;
-        const int surplus = have - neededVms(pool, settings);
+        // Small differences from the share are not worth the time that a VM is out of service while it moves.
+        const int share = shares.at(name);
+        const int slack = share < neededVms(pool, settings) ? share * settings.scarcitySlackPercent / 100 : 0;
+        const int difference = have - share;
+        const int surplus = std::abs(difference) > slack ? difference : 0;
         balances.push_back(
             {name, surplus, std::min(surplus, have - pool.averageVms), pool.sustainedSurplus, movableVms(pool.report, fleet.pinned)});
     }
--- a/src/upkeep/moves.hpp
+++ b/src/upkeep/moves.hpp
@@ -20,6 +20,8 @@
     std::int64_t headroomPercent = 40;
     /// Extrapolation of a rise in arriving work over the duration of a move, in percent of the rise.
     std::int64_t trendPercent = 150;
+    /// Difference from its share that a pool keeps while VMs are scarce, in percent of the share.
+    int scarcitySlackPercent = 10;
     /// VMs that a pool keeps in addition to those required by its long-running subtasks.
     int spareVms = 1;
     /// Limit on planned moves: `maxMoves`, or one per `vmsPerMove` VMs of the fleet if that is more.
@@ -63,8 +65,13 @@
 /// Number of VMs that the pool needs for its present work and the work that arrives.
 int neededVms(const PoolDemand &pool, const MoveSettings &settings);
 
-/// Returns the moves to carry out. Pools with a deficit receive VMs of standby pools first, then VMs of pools with a
-/// surplus. A pool with a sustained surplus returns VMs to a standby pool.
+/// Share of the fleet's VMs that each pool gets. While all needs can be met, that is what each needs. Otherwise the VMs of long-running
+/// subtasks come first, and the rest is divided so that every pool gets the same part of what it needs beyond them. Designed for
+/// surges in several pools at once, in which the pool with the largest backlog would otherwise take all VMs and keep them.
+std::map<std::string, int> divideVms(const FleetDemand &fleet, const MoveSettings &settings);
+
+/// Returns the moves to carry out. Pools with fewer VMs than their share receive VMs of standby pools first, then VMs of pools with
+/// more than their share. A pool with a sustained surplus returns VMs to a standby pool.
 std::vector<VmMove> planMoves(const FleetDemand &fleet, const MoveSettings &settings);
 
 } // namespace hibiscusbridge::jobs
--- a/src/upkeep/poolreport.hpp
+++ b/src/upkeep/poolreport.hpp
@@ -32,7 +32,8 @@
     std::int64_t previousArrivingCpu = 0;
     /// CPU required by the jobs that can still meet their objective, in thousandths of a core.
     std::int64_t urgentCpu = 0;
-    /// Queued and running work of jobs that can no longer meet their objective, in core-milliseconds.
+    /// Queued and running work of jobs that miss their objective but still have value, in core-milliseconds. Expired jobs use what is
+    /// left over.
     std::int64_t lateBacklog = 0;
     /// CPU reserved or requested by long-running subtasks, in thousandths of a core.
     std::int64_t longRunningCpu = 0;
