Test pauses, hand-overs, restarts and lost answers of cancellations

The test cluster can freeze an entry: what it has sent is carried out, results and timers wait until it resumes. New cases in jobs_test: an owner frozen for 1, 3 and 10 s at each 50 ms of a job's life in one and two cells (144 runs), a hand-over at each 50 ms with and without orders of the former owner that arrive 3 s late (48 runs), workers that left while the history was lost, cancellations without an answer; cells_test: a configuration never reverts.

--- a/tests/unit/cells_test.cpp
+++ b/tests/unit/cells_test.cpp
@@ -123,3 +123,14 @@
     CHECK(fleet.hosts["e0"]->cells().count == 1);
     CHECK(fleet.hosts["e0"]->leases().held().contains("pool"));
 }
+
+TEST_CASE("a configuration never reverts to an older version")
+{
+    Hosts fleet;
+    fleet.start("e0");
+    auto &host = *fleet.hosts["e0"];
+    host.setConfiguration({.version = 7, .pools = {{.name = "spare"}}});
+    host.setConfiguration({.version = 3, .queues = {{.name = "r", .host = "h", .pathPrefix = "/", .pool = "pool"}}});
+    CHECK(host.configuration()->version == 7);
+    CHECK(host.configuration()->queues.empty());
+}
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -83,20 +83,107 @@
     store.remove(workerKey(id));
 }
 
+void JobCluster::deliver(const std::string &name, std::function<void()> fn)
+{
+    if (const auto it = m_frozen.find(name); it != m_frozen.end()) {
+        it->second.push_back(std::move(fn));
+        return;
+    }
+    fn();
+}
+
+TimerPort JobCluster::timersOf(const std::string &name)
+{
+    return {.after = [this, name](Millis delay, std::function<void()> fn) {
+        loop.timers().after(delay, [this, name, fn = std::move(fn)] { deliver(name, fn); });
+    }};
+}
+
+/// Delivers the result of a call to an entry, unless it is frozen.
+template<typename Result>
+static std::function<void(Result)> delivered(std::function<void(std::function<void()>)> deliver, std::function<void(Result)> done)
+{
+    return [deliver = std::move(deliver), done = std::move(done)](Result result) {
+        deliver([done, result = std::move(result)] { done(result); });
+    };
+}
+
+StorePort JobCluster::storeOf(const std::string &name)
+{
+    const auto gate = [this, name](std::function<void()> fn) {
+        deliver(name, std::move(fn));
+    };
+    StorePort port;
+    port.commit = [gate, inner = store.port(name)](RowTransaction tx, Millis timeout, std::function<void(CommitResult)> done) {
+        inner.commit(std::move(tx), timeout, delivered<CommitResult>(gate, std::move(done)));
+    };
+    port.read = [gate, inner = store.port(name)](RowRange range, Millis timeout, std::function<void(ReadResult)> done) {
+        inner.read(std::move(range), timeout, delivered<ReadResult>(gate, std::move(done)));
+    };
+    port.feed = [gate, inner = store.port(name)](
+                    std::string table, std::uint64_t after, Millis wait, Millis timeout, std::function<void(ReadResult)> done) {
+        inner.feed(std::move(table), after, wait, timeout, delivered<ReadResult>(gate, std::move(done)));
+    };
+    return port;
+}
+
+WorkerPort JobCluster::workersOf(const std::string &name)
+{
+    const auto gate = [this, name](std::function<void()> fn) {
+        deliver(name, std::move(fn));
+    };
+    const auto inner = workers.port(name);
+    WorkerPort port;
+    port.renew = [gate, inner](const RenewOrder &order, Millis timeout, MaySend maySend, std::function<void(RenewResult)> done) {
+        inner.renew(order, timeout, std::move(maySend), delivered<RenewResult>(gate, std::move(done)));
+    };
+    port.start = [gate, inner](const StartOrder &order, Millis timeout, MaySend maySend, std::function<void(OrderResult)> done) {
+        inner.start(order, timeout, std::move(maySend), delivered<OrderResult>(gate, std::move(done)));
+    };
+    port.stop = [gate, inner](const StopOrder &order, Millis timeout, MaySend maySend, std::function<void(OrderResult)> done) {
+        inner.stop(order, timeout, std::move(maySend), delivered<OrderResult>(gate, std::move(done)));
+    };
+    port.throttle = [gate, inner](const ThrottleOrder &order, Millis timeout, MaySend maySend, std::function<void(OrderResult)> done) {
+        inner.throttle(order, timeout, std::move(maySend), delivered<OrderResult>(gate, std::move(done)));
+    };
+    return port;
+}
+
+void JobCluster::pauseEntry(const std::string &name)
+{
+    m_frozen[name];
+}
+
+void JobCluster::resumeEntry(const std::string &name)
+{
+    if (auto frozen = m_frozen.extract(name); !frozen.empty()) {
+        for (auto &it : frozen.mapped()) {
+            it();
+        }
+    }
+}
+
+bool JobCluster::requestShard(const std::string &to, int cell)
+{
+    const auto from = owner(cell);
+    return !from.empty() && m_entries.at(from).host->onShardRequest(shardName(m_cells, poolName, cell), to, 100, 0);
+}
+
 void JobCluster::startEntry(const std::string &name)
 {
+    m_frozen.erase(name);
     EntrySettings settings{.name = name};
     settings.peerAddress = name;
     auto &entry = m_entries[name];
     entry.host =
         std::make_unique<ShardHost>(settings,
-                                    ShardHost::Ports{.store = store.port(name),
-                                                     .workers = workers.port(name),
+                                    ShardHost::Ports{.store = storeOf(name),
+                                                     .workers = workersOf(name),
                                                      .vms = {.list =
                                                                  [this](Millis, std::function<void(VmListResult)> done) {
                                                                      loop.post([done = std::move(done)] { done({}); });
                                                                  }},
-                                                     .timers = loop.timers(),
+                                                     .timers = timersOf(name),
                                                      .clock = loop.clock(),
                                                      .workerTable = std::string(platform::workerTable),
                                                      .decodeWorker = platform::decodeWorker,
@@ -109,7 +196,7 @@
                                                      }});
     auto *const host = entry.host.get();
     entry.intake = std::make_unique<Intake>(
-        Intake::Ports{.store = store.port(name),
+        Intake::Ports{.store = storeOf(name),
                       .timers = loop.timers(),
                       .clock = loop.clock(),
                       .configuration = [host] { return host->configuration(); },
--- a/tests/unit/jobcluster.hpp
+++ b/tests/unit/jobcluster.hpp
@@ -32,6 +32,16 @@
     /// Destroys the entry without a graceful shutdown.
     void killEntry(const std::string &name);
     void stopEntry(const std::string &name);
+    /// Freezes the entry: its timers and the results of its calls are kept until `resumeEntry`, which runs them in order. What it
+    /// has sent is carried out.
+    void pauseEntry(const std::string &name);
+    void resumeEntry(const std::string &name);
+    /// Lets `to` request the shard of the cell from its owner. Returns whether the owner hands it over.
+    bool requestShard(const std::string &to, int cell = 0);
+    const ShardHost &host(const std::string &name) const
+    {
+        return *m_entries.at(name).host;
+    }
     /// Name of the entry that owns the pool's shard of this cell; empty if no entry does.
     std::string owner(int cell = 0) const;
     /// Submits the job through an entry; the response is stored in `answers` under the job id.
@@ -58,6 +68,13 @@
         std::unique_ptr<Intake> intake;
     };
 
+    /// Runs the function, or keeps it while the entry is frozen.
+    void deliver(const std::string &name, std::function<void()> fn);
+    TimerPort timersOf(const std::string &name);
+    StorePort storeOf(const std::string &name);
+    WorkerPort workersOf(const std::string &name);
+
+    std::map<std::string, std::vector<std::function<void()>>> m_frozen;
     Configuration m_configuration;
     Cells m_cells;
     std::map<std::string, Entry> m_entries;
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -357,6 +357,122 @@
     }
 }
 
+TEST_CASE("an owner that was paused sends nothing on a permission that has run out")
+{
+    // The owner is frozen at each 50 ms of a job's life, while its calls are under way and their results wait. Another entry takes the
+    // pool over; after the pause the former owner handles the results and its timers first.
+    const auto pause = GENERATE(1'000, 3'000, 10'000);
+    const auto cells = GENERATE(1, 2);
+    for (int at = 0; at < 1'200; at += 50) {
+        CAPTURE(pause, cells, at);
+        JobCluster cluster(3, 6, cells);
+        cluster.loop.advance(startupTime);
+        for (int i = 1; i <= 4; ++i) {
+            cluster.submit("e" + std::to_string(i % 3), twoStepJob(i));
+        }
+        cluster.loop.advance({at});
+        const auto owner = cluster.owner();
+        cluster.pauseEntry(owner);
+        cluster.loop.advance({pause});
+        cluster.resumeEntry(owner);
+        cluster.loop.advance(recoveryTime);
+        INFO(joined(cluster.workers.violations));
+        REQUIRE(cluster.workers.violations.empty());
+        REQUIRE(cluster.accepted.size() == 4);
+        REQUIRE(cluster.allFinal());
+    }
+}
+
+TEST_CASE("a hand-over while orders are under way starts nothing twice")
+{
+    // Orders of the former owner arrive up to 3 s after its successor has taken over.
+    const bool late = GENERATE(false, true);
+    for (int at = 0; at < 1'200; at += 50) {
+        CAPTURE(late, at);
+        JobCluster cluster(3, 4);
+        // A shard stays with its owner for some seconds before it is handed over.
+        cluster.loop.advance(startupTime * 2);
+        for (int i = 1; i <= 4; ++i) {
+            cluster.submit("e" + std::to_string(i % 3), twoStepJob(i));
+        }
+        if (late) {
+            cluster.workers.delayed = {"w0", "w1"};
+        }
+        cluster.loop.advance({at});
+        const auto before = cluster.owner();
+        REQUIRE(cluster.requestShard(before == "e0" ? "e1" : "e0"));
+        cluster.loop.advance({1'000});
+        CHECK(cluster.owner() != before);
+        cluster.workers.delayed.clear();
+        cluster.loop.advance(recoveryTime);
+        INFO(joined(cluster.workers.violations));
+        REQUIRE(cluster.workers.violations.empty());
+        REQUIRE(cluster.allFinal());
+    }
+}
+
+TEST_CASE("a worker that left while the history was lost gets no work from a restarted entry")
+{
+    JobCluster cluster(2, 3);
+    cluster.loop.advance(startupTime);
+    cluster.killEntry("e0");
+    cluster.killEntry("e1");
+    cluster.unregisterWorker("w0");
+    cluster.workers.unresponsive = {"w0"};
+    cluster.store.discardHistory();
+    cluster.startEntry("e0");
+    cluster.loop.advance(startupTime);
+    cluster.workers.unresponsive.clear();
+    for (int i = 1; i <= 4; ++i) {
+        cluster.submit("e0", twoStepJob(i));
+    }
+    for (int i = 0; i < 40; ++i) {
+        cluster.loop.advance({100});
+        REQUIRE(cluster.workers.runningOn("w0") == 0);
+    }
+    CHECK(cluster.allFinal());
+}
+
+TEST_CASE("a worker that left while its row could not be followed gets no work after the history was lost")
+{
+    JobCluster cluster(2, 3);
+    cluster.loop.advance(startupTime);
+    cluster.store.silentFeeds = {"servers"};
+    cluster.loop.advance({2'000});
+    cluster.unregisterWorker("w0");
+    cluster.store.discardHistory();
+    cluster.store.silentFeeds.clear();
+    cluster.loop.advance({3'000});
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(16, 1'000, {400})}));
+    for (int i = 0; i < 20; ++i) {
+        cluster.loop.advance({100});
+        REQUIRE(cluster.workers.runningOn("w0") == 0);
+    }
+    CHECK(cluster.allFinal());
+}
+
+TEST_CASE("a cancellation whose write gets no answer is never answered as if the job did not exist")
+{
+    const auto loss = GENERATE(FakeStore::Loss::Applied, FakeStore::Loss::AppliedLater);
+    JobCluster cluster(2, 2);
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(2, 1'000, {60'000})}));
+    cluster.loop.advance({500});
+    cluster.store.loseResponseEvery = 1;
+    cluster.store.loss = loss;
+    cluster.cancel("e1", jobId(1));
+    cluster.loop.advance({4'000});
+    const auto answer = cluster.answers.find("cancel " + jobId(1));
+    REQUIRE(answer != cluster.answers.end());
+    CHECK(answer->second.kind == AnswerKind::Unknown);
+    cluster.store.loss = FakeStore::Loss::None;
+    cluster.cancel("e0", jobId(1));
+    cluster.loop.advance({4'000});
+    CHECK(cluster.answers["cancel " + jobId(1)].kind == AnswerKind::Done);
+    cluster.loop.advance({6'000});
+    CHECK(cluster.workers.runningOf(jobId(1)) == 0);
+}
+
 static unsigned envNumber(const char *name, unsigned fallback)
 {
     const char *const text = std::getenv(name);
