Ask a worker at once about a start without an answer

Cause: a start without an answer was cleared up by the worker's next list, and the long poll that brings it waits for an end for up to a second. The timeout of an order, 0.7 s, added to it. Besides, a long poll that a later token of the same owner overtook counted as a miss, so the worker got no work until the next answer.

Change: after such a start the owner asks for the worker's list under the raised token at once, beside the long poll; orders time out after 0.5 s; a renewal that the owner's own later token overtook is no miss.

Tests: "a subtask whose start got no answer starts again soon ..." failed at each of its ten offsets before; "a renewal that its owner's later token overtook ..." failed before.

--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -345,6 +345,9 @@
         return;
     }
     auto &worker = *found->second;
+    if (result.outcome == OrderOutcome::Fenced && renewalFence < fenceAt(workerId)) {
+        return; // The worker has seen a later token of this owner, so it can be reached.
+    }
     if (result.outcome != OrderOutcome::Accepted) {
         if (worker.misses++ == 0) {
             logEvent(LogLevel::Warn,
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -251,7 +251,9 @@
         m_renewalBudget -= 1;
         sendRenewal(*worker, *renewalState, now);
     }
-    std::erase_if(m_renewals, [this](const auto &it) { return !it.second.inFlight && !m_pool->workers().contains(it.first); });
+    std::erase_if(m_renewals, [this](const auto &it) {
+        return !it.second.inFlight && !it.second.probeInFlight && !m_pool->workers().contains(it.first);
+    });
 }
 
 void PoolOwner::sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now)
@@ -304,6 +306,31 @@
     scheduleRun();
 }
 
+/// Requests a worker's list at once, beside its renewal, which may wait for an end for a second: the list tells whether a start
+/// without a response was carried out, and its fencing token prevents that start from then on.
+void PoolOwner::sendProbe(const std::string &id)
+{
+    const auto worker = m_pool->workers().find(id);
+    if (worker == m_pool->workers().end() || m_renewals[id].probeInFlight) {
+        return;
+    }
+    m_renewals[id].probeInFlight = true;
+    const auto now = m_ports.clock.boot();
+    const RenewOrder order{.worker = {id, worker->second->entry.address}, .fence = m_pool->fenceAt(id)};
+    m_ports.workers.renew(
+        order, probeTimeout, m_ports.isOwner, [this, alive = m_alive, id, now, fence = order.fence](const RenewResult &result) {
+            if (!*alive) {
+                return;
+            }
+            m_renewals[id].probeInFlight = false;
+            if (result.outcome == OrderOutcome::Fenced && fence == m_pool->fenceAt(id)) {
+                return m_ports.superseded("worker " + id + " rejected a probe: it has seen a higher fencing token");
+            }
+            m_pool->onHold(id, fence, result, now, m_ports.clock.boot(), m_ports.clock.wall());
+            scheduleRun();
+        });
+}
+
 void PoolOwner::sendOrders(PoolOrders orders)
 {
     for (auto &it : orders.starts) {
@@ -318,6 +345,9 @@
                 if (result.outcome == OrderOutcome::Fenced && current) {
                     return m_ports.superseded("worker " + order.worker.id + " rejected a start: it has seen a higher fencing token");
                 }
+                if (result.outcome == OrderOutcome::Unknown) {
+                    sendProbe(order.worker.id);
+                }
                 if (result.outcome != OrderOutcome::Accepted) {
                     scheduleRun();
                 }
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -29,7 +29,7 @@
     /// Maximum number of lease renewals sent to workers per second; at a lower rate, each one returns more ends. A renewal
     /// takes about 0.15 ms of CPU time.
     double holdsPerSecond = 400;
-    Millis orderTimeout{700};
+    Millis orderTimeout{500};
     /// Interval at which deadlines are checked.
     Millis tickInterval{100};
     /// Retention period of ended jobs.
@@ -81,6 +81,7 @@
 private:
     struct RenewalState {
         bool inFlight = false;
+        bool probeInFlight = false;
         Millis nextSendAt;
         Millis sentAt;
         /// Recent time between a request and its response, without the wait of the long poll.
@@ -97,6 +98,7 @@
     void sendRenewals(Millis now);
     void sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now);
     void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result);
+    void sendProbe(const std::string &id);
     void sendOrders(PoolOrders orders);
     void requestAdvice(Millis now);
     void commit(Millis now);
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -182,6 +182,26 @@
     CHECK(cluster.workers.starts == starts);
 }
 
+TEST_CASE("a subtask whose start got no answer starts again soon after the start's timeout")
+{
+    // Guards against waiting for the worker's long poll, which takes another second.
+    for (int offset = 0; offset < 1'000; offset += 100) {
+        CAPTURE(offset);
+        JobCluster cluster(2, 1);
+        cluster.loop.advance(startupTime + Millis{offset});
+        cluster.workers.delayed = {"w0"};
+        cluster.submit("e0", makeJob(jobId(1), {makeStep(2, 1'000, {300})}));
+        cluster.loop.advance({100});
+        cluster.workers.delayed.clear();
+        cluster.loop.advance({1'100});
+        CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Completed);
+        cluster.loop.advance({5'000});
+        CHECK(cluster.workers.starts == 2);
+        INFO(joined(cluster.workers.violations));
+        CHECK(cluster.workers.violations.empty());
+    }
+}
+
 TEST_CASE("a worker that was silent for less than its lease keeps its running work")
 {
     const auto silence = GENERATE(500, 1'500, 2'500, 3'000);
--- a/tests/unit/pool_test.cpp
+++ b/tests/unit/pool_test.cpp
@@ -259,3 +259,19 @@
     REQUIRE(sim.start(0).size() == 1);
     CHECK(sim.pool.load(sim.now).queuedByRoute["short"] == 0);
 }
+
+TEST_CASE("a renewal that its owner's later token overtook does not make the worker unreachable")
+{
+    SimulatedWorkers sim({"w0"});
+    sim.pool.addJob(shortJob("0000000000000001", 1, 1'000), std::nullopt, sim.now, sim.now);
+    sim.pool.schedule(sim.now, sim.now, true);
+    sim.pool.takeRecords(10);
+    const auto starts = sim.pool.onRecordsCommitted(sim.now).starts;
+    REQUIRE(starts.size() == 1);
+    const auto before = sim.pool.fenceAt("w0");
+    sim.pool.onStart(starts[0], {.outcome = OrderOutcome::Unknown}, sim.now);
+    sim.listAll();
+    REQUIRE(sim.pool.isReachable(*sim.pool.workers().at("w0")));
+    sim.pool.onHold("w0", before, {.outcome = OrderOutcome::Fenced}, sim.now, sim.now, sim.now);
+    CHECK(sim.pool.isReachable(*sim.pool.workers().at("w0")));
+}
