--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -20,10 +20,10 @@
 /// Time for a response to arrive: at least the first, and up to the second for a worker that has recently been slow.
 constexpr Millis renewalTimeoutMargin{400};
 constexpr Millis maxRenewalTimeoutMargin{2'000};
-/// Probes of an unreachable worker alternate between a short timeout, which soon replaces a dead connection, and a long one, in
-/// which a slow worker can answer before its lease expires.
 constexpr Millis probeTimeout{500};
-constexpr Millis slowProbeTimeout{1'500};
+/// Timeout of the probe that goes beside the others to an unreachable worker with runs: a slow worker can answer it before its lease
+/// expires.
+constexpr Millis slowProbeTimeout{2'000};
 /// Maximum delay of the next renewal while the ends of the last list are being persisted.
 constexpr Millis ackTimeout{400};
 /// A worker cannot have restarted undetected within this time after its last list.
@@ -264,7 +264,10 @@
     // End numbers restart with each incarnation: a cursor of the previous incarnation would acknowledge ends of the new one
     // that have not been received.
     order.ackCursor = reachable && now - worker.listedAt <= incarnationValidity ? worker.ackCursor : 0;
-    auto timeout = worker.misses > 0 && worker.misses % 2 == 0 ? slowProbeTimeout : probeTimeout;
+    auto timeout = probeTimeout;
+    if (!reachable && worker.synced && !worker.runs.empty()) {
+        sendProbe(id, slowProbeTimeout);
+    }
     if (reachable) {
         // Only a responding worker gets its lease extended, so that runs on an unreachable one end in time.
         order.deadline = m_pool->deadlineFor(worker, now);
@@ -284,6 +287,13 @@
                           });
 }
 
+/// True if a probe got no response, but the worker has answered another call since the probe was sent.
+bool PoolOwner::isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const
+{
+    const auto worker = m_pool->workers().find(id);
+    return result.outcome == OrderOutcome::Unknown && worker != m_pool->workers().end() && worker->second->answeredAt > sentAt;
+}
+
 void PoolOwner::onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result)
 {
     const auto now = m_ports.clock.boot();
@@ -292,7 +302,9 @@
     if (result.outcome == OrderOutcome::Fenced && fence == m_pool->fenceAt(id)) {
         return m_ports.superseded("worker " + id + " rejected a lease renewal: it has seen a higher fencing token");
     }
-    m_pool->onHold(id, fence, result, sentAt, now, m_ports.clock.wall());
+    if (wait.count > 0 || !isOutdatedMiss(id, result, sentAt)) {
+        m_pool->onHold(id, fence, result, sentAt, now, m_ports.clock.wall());
+    }
     if (result.outcome == OrderOutcome::Accepted) {
         renewalState.ackDeadline = now + ackTimeout;
         // An answer before the end of the wait says nothing about the response time.
@@ -306,9 +318,9 @@
     scheduleRun();
 }
 
-/// Requests a worker's list at once, beside its renewal, which may wait for an end for a second: the list tells whether a start
-/// without a response was carried out, and its fencing token prevents that start from then on.
-void PoolOwner::sendProbe(const std::string &id)
+/// Requests a worker's list at once, beside its renewal. After a start without a response, the list tells whether that start was
+/// carried out, and its fencing token prevents it from then on; the renewal may wait for an end for a second.
+void PoolOwner::sendProbe(const std::string &id, Millis timeout)
 {
     const auto worker = m_pool->workers().find(id);
     if (worker == m_pool->workers().end() || m_renewals[id].probeInFlight) {
@@ -318,7 +330,7 @@
     const auto now = m_ports.clock.boot();
     const RenewOrder order{.worker = {id, worker->second->entry.address}, .fence = m_pool->fenceAt(id)};
     m_ports.workers.renew(
-        order, probeTimeout, m_ports.isOwner, [this, alive = m_alive, id, now, fence = order.fence](const RenewResult &result) {
+        order, timeout, m_ports.isOwner, [this, alive = m_alive, id, now, fence = order.fence](const RenewResult &result) {
             if (!*alive) {
                 return;
             }
@@ -326,7 +338,13 @@
             if (result.outcome == OrderOutcome::Fenced && fence == m_pool->fenceAt(id)) {
                 return m_ports.superseded("worker " + id + " rejected a probe: it has seen a higher fencing token");
             }
-            m_pool->onHold(id, fence, result, now, m_ports.clock.boot(), m_ports.clock.wall());
+            const auto answeredAt = m_ports.clock.boot();
+            if (!isOutdatedMiss(id, result, now)) {
+                m_pool->onHold(id, fence, result, now, answeredAt, m_ports.clock.wall());
+            }
+            if (result.outcome == OrderOutcome::Accepted) {
+                m_renewals[id].responseTime = answeredAt - now;
+            }
             scheduleRun();
         });
 }
@@ -346,7 +364,7 @@
                     return m_ports.superseded("worker " + order.worker.id + " rejected a start: it has seen a higher fencing token");
                 }
                 if (result.outcome == OrderOutcome::Unknown) {
-                    sendProbe(order.worker.id);
+                    sendProbe(order.worker.id, probeTimeout);
                 }
                 if (result.outcome != OrderOutcome::Accepted) {
                     scheduleRun();
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -29,7 +29,7 @@
     /// Maximum number of lease renewals sent to workers per second; at a lower rate, each one returns more ends. A renewal
     /// takes about 0.15 ms of CPU time.
     double holdsPerSecond = 400;
-    Millis orderTimeout{500};
+    Millis orderTimeout{700};
     /// Interval at which deadlines are checked.
     Millis tickInterval{100};
     /// Retention period of ended jobs.
@@ -98,7 +98,8 @@
     void sendRenewals(Millis now);
     void sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now);
     void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result);
-    void sendProbe(const std::string &id);
+    void sendProbe(const std::string &id, Millis timeout);
+    bool isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const;
     void sendOrders(PoolOrders orders);
     void requestAdvice(Millis now);
     void commit(Millis now);
