--- a/bench/pool.cpp
+++ b/bench/pool.cpp
@@ -84,7 +84,7 @@
             const auto &[id, run] = ends.begin()->second;
             auto &list = lists[id];
             std::erase_if(list.running, [&run = run](const RunReport &it) { return it.subtask == run.subtask; });
-            list.ended.push_back({.number = ++endNumbers[id], .subtask = run.subtask, .run = run.run, .end = RunEnd::Done});
+            list.ended.push_back({.number = ++m_endNumbers[id], .subtask = run.subtask, .run = run.run, .end = RunEnd::Done});
             changed.insert(id);
             ends.erase(ends.begin());
         }
@@ -106,7 +106,7 @@
     }
 
 private:
-    std::map<std::string, std::int64_t> endNumbers;
+    std::map<std::string, std::int64_t> m_endNumbers;
 };
 
 } // namespace
@@ -124,7 +124,7 @@
     }
     const auto startsBefore = load.starts;
     const auto from = load.now;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         load.step(elapsed, jobsPerSecond);
     }
     const auto seconds = static_cast<double>((load.now - from).count) / 1'000;
