Let feeds recover from a slow store

Change: the request after a failure has 1.5 s, like a read; an entry refuses callers for an unconfirmed configuration after 5 s, which covers a failed wait and a slow answer.

Test: "jobs run and their number is known while the store is slow" (answers after 0.7 s) failed with the 0.4 s.

--- a/src/intake/availability.cpp
+++ b/src/intake/availability.cpp
@@ -5,8 +5,8 @@
 {
 
 constexpr Millis maxAnswerAge{2'500};
-/// Covers one failed wait of the configuration's feed and the next one.
-constexpr Millis maxConfigurationAge{3'500};
+/// Covers a wait of the configuration's feed that failed, and the next request to a slow store.
+constexpr Millis maxConfigurationAge{5'000};
 
 std::string unavailableReason(const StoreContact &contact, Millis now)
 {
--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -84,7 +84,7 @@
     const auto sentAt = m_clock.boot();
     // After a failure the first answer is wanted at once: until then changes may have been missed.
     const auto wait = m_current ? feedWait : Millis{0};
-    m_store.feed(m_table, m_version, wait, feedTimeout - feedWait + wait, [this, alive = m_alive, sentAt](ReadResult result) {
+    m_store.feed(m_table, m_version, wait, m_current ? feedTimeout : readTimeout, [this, alive = m_alive, sentAt](ReadResult result) {
         if (!*alive) {
             return;
         }
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -263,6 +263,22 @@
     CHECK(cluster.workers.violations.empty());
 }
 
+TEST_CASE("jobs run and their number is known while the store is slow")
+{
+    // Each answer takes longer than the margin of a feed's timeout, so long polls without a change fail.
+    JobCluster cluster(2, 2);
+    cluster.loop.advance(startupTime);
+    cluster.store.latency = {700};
+    cluster.loop.advance({6'000});
+    for (int i = 0; i < 5; ++i) {
+        cluster.submit("e" + std::to_string(i % 2), makeJob(jobId(i), {makeStep(1, 1'000, {200})}));
+        cluster.loop.advance({3'000});
+    }
+    cluster.loop.advance({4'000});
+    CHECK(cluster.accepted.size() == 5);
+    CHECK(cluster.allFinal());
+}
+
 TEST_CASE("a queue length that misses recent submissions is refused rather than reported")
 {
     JobCluster cluster(3, 1);
