Ask about a start without an answer with the worker's next long poll

Change: the immediate question is gone; the list of the next long poll under the raised token answers it, as before.

Conclusion: a second of delay is cheaper than a subtask that runs twice.

--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -252,7 +252,7 @@
         sendRenewal(*worker, *renewalState, now);
     }
     std::erase_if(m_renewals, [this](const auto &it) {
-        return !it.second.inFlight && !it.second.probeInFlight && !m_pool->workers().contains(it.first);
+        return !it.second.inFlight && !it.second.slowProbeInFlight && !m_pool->workers().contains(it.first);
     });
 }
 
@@ -266,7 +266,7 @@
     order.ackCursor = reachable && now - worker.listedAt <= incarnationValidity ? worker.ackCursor : 0;
     auto timeout = probeTimeout;
     if (!reachable && worker.synced && !worker.runs.empty()) {
-        sendProbe(id, slowProbeTimeout);
+        sendSlowProbe(id);
     }
     if (reachable) {
         // Only a responding worker gets its lease extended, so that runs on an unreachable one end in time.
@@ -318,23 +318,22 @@
     scheduleRun();
 }
 
-/// Requests a worker's list at once, beside its renewal. After a start without a response, the list tells whether that start was
-/// carried out, and its fencing token prevents it from then on; the renewal may wait for an end for a second.
-void PoolOwner::sendProbe(const std::string &id, Millis timeout)
+/// Requests the list of an unreachable worker beside the short probes, so that a slow worker can answer.
+void PoolOwner::sendSlowProbe(const std::string &id)
 {
     const auto worker = m_pool->workers().find(id);
-    if (worker == m_pool->workers().end() || m_renewals[id].probeInFlight) {
+    if (worker == m_pool->workers().end() || m_renewals[id].slowProbeInFlight) {
         return;
     }
-    m_renewals[id].probeInFlight = true;
+    m_renewals[id].slowProbeInFlight = true;
     const auto now = m_ports.clock.boot();
     const RenewOrder order{.worker = {id, worker->second->entry.address}, .fence = m_pool->fenceAt(id)};
     m_ports.workers.renew(
-        order, timeout, m_ports.isOwner, [this, alive = m_alive, id, now, fence = order.fence](const RenewResult &result) {
+        order, slowProbeTimeout, m_ports.isOwner, [this, alive = m_alive, id, now, fence = order.fence](const RenewResult &result) {
             if (!*alive) {
                 return;
             }
-            m_renewals[id].probeInFlight = false;
+            m_renewals[id].slowProbeInFlight = false;
             if (result.outcome == OrderOutcome::Fenced && fence == m_pool->fenceAt(id)) {
                 return m_ports.superseded("worker " + id + " rejected a probe: it has seen a higher fencing token");
             }
@@ -363,9 +362,6 @@
                 if (result.outcome == OrderOutcome::Fenced && current) {
                     return m_ports.superseded("worker " + order.worker.id + " rejected a start: it has seen a higher fencing token");
                 }
-                if (result.outcome == OrderOutcome::Unknown) {
-                    sendProbe(order.worker.id, probeTimeout);
-                }
                 if (result.outcome != OrderOutcome::Accepted) {
                     scheduleRun();
                 }
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -81,7 +81,7 @@
 private:
     struct RenewalState {
         bool inFlight = false;
-        bool probeInFlight = false;
+        bool slowProbeInFlight = false;
         Millis nextSendAt;
         Millis sentAt;
         /// Recent time between a request and its response, without the wait of the long poll.
@@ -98,7 +98,7 @@
     void sendRenewals(Millis now);
     void sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now);
     void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result);
-    void sendProbe(const std::string &id, Millis timeout);
+    void sendSlowProbe(const std::string &id);
     bool isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const;
     void sendOrders(PoolOrders orders);
     void requestAdvice(Millis now);
