Report the end that has waited longest for its acknowledgement, and why

Cause: when workers' ends were not acknowledged in time, neither logs nor metrics told why: record not committed, worker unreachable, or a renewal that was sent too early or not at all.

Change: the pool keeps the unacknowledged ends of each worker with the time of their list. Once a second the owner logs the oldest one that has waited over a second (`end_not_acknowledged`), with its reason; a counter by reason and a gauge of the age go with it.

--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -37,6 +37,16 @@
                                                         .Name("hibiscusbridge_runs_listed_ended_total")
                                                         .Help("Ends of runs that workers listed")
                                                         .Register(registry);
+    prometheus::Family<prometheus::Counter> &ackDelays =
+        prometheus::BuildCounter()
+            .Name("hibiscusbridge_ack_delay_seconds_total")
+            .Help("Seconds in which a pool's oldest listed end had waited over a second for its acknowledgement, by reason")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge> &oldestUnackedEnd =
+        prometheus::BuildGauge()
+            .Name("hibiscusbridge_oldest_unacknowledged_end_seconds")
+            .Help("Time that the oldest listed end has waited for its acknowledgement")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge> &shards =
         prometheus::BuildGauge().Name("hibiscusbridge_shards_held").Help("Shards that this entry owns").Register(registry);
     prometheus::Family<prometheus::Gauge> &logLines = prometheus::BuildGauge()
@@ -176,8 +186,14 @@
         .Observe(static_cast<double>(duration.count) * secondsPerMilli);
 }
 
+void Metrics::recordAckDelay(AckDelay delay)
+{
+    m_families->ackDelays.Add({{"reason", nameOf(delay)}}).Increment();
+}
+
 std::string Metrics::render(const ShardHost &host) const
 {
+    m_families->oldestUnackedEnd.Add({}).Set(static_cast<double>(host.oldestUnackedEndAge().count) * secondsPerMilli);
     m_families->shards.Add({}).Set(static_cast<double>(host.leases().held().size()));
     m_families->logLines.Add({}).Set(static_cast<double>(droppedLogLines()));
     std::ostringstream out;
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -24,7 +24,9 @@
     StorePort instrument(StorePort store, Clock clock);
     WorkerPort instrument(WorkerPort workers, Clock clock);
     void recordAnswer(std::string_view call, const Answer &answer, Millis duration);
-    /// Renders all metrics, including the current numbers of held shards and dropped log lines.
+    /// Counts a second in which a pool had an end that waited long for its acknowledgement.
+    void recordAckDelay(AckDelay delay);
+    /// Renders all metrics, including the current state of the shards and the number of dropped log lines.
     std::string render(const ShardHost &host) const;
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -128,9 +128,10 @@
                        std::function<void(std::optional<PoolReport>)> done) {
                     requestPeerReport(address, shard, cordonedVms, std::move(done));
                 },
-            .requestShard =
-                [this](const std::string &address, const std::string &shard, int held) {
-                    requestShard(address, shard, held);
+            .requestShard = [this](const std::string &address, const std::string &shard, int held) { requestShard(address, shard, held); },
+            .ackDelayed =
+                [this](const OldestUnackedEnd &end) {
+                    m_metrics.recordAckDelay(end.delay);
                 }};
 }
 
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -287,10 +287,20 @@
         .registeredWorkers = [this, shard] { return workersOf(m_poolShards.at(shard)); },
         .endedWorkers = [this] { return m_directory->replacedWorkers(); },
         .superseded = [this, shard](const std::string &reason) { m_leases->loseShard(shard, reason); },
+        .ackDelayed = m_ports.ackDelayed,
     };
     return std::make_unique<PoolOwner>(shard, fence, times, ownTimes, std::move(ports));
 }
 
+Millis ShardHost::oldestUnackedEndAge() const
+{
+    Millis oldest;
+    for (const auto &[shard, owner] : m_pools) {
+        oldest = std::max(oldest, owner->oldestUnackedEndAge());
+    }
+    return oldest;
+}
+
 std::unique_ptr<FleetOwner> ShardHost::makeFleetOwner(std::uint64_t fence)
 {
     FleetOwner::Ports ports{
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -47,6 +47,9 @@
         /// Requests the hand-over of a shard from the entry at this peer address. `held` is the number of shards that this
         /// entry owns.
         std::function<void(const std::string &address, const std::string &shard, int held)> requestShard;
+        /// Called once a second for each pool with an end that waits long for its acknowledgement.
+        std::function<void(const OldestUnackedEnd &)> ackDelayed = [](const OldestUnackedEnd &) {
+        };
     };
 
     ShardHost(const EntrySettings &settings, Ports ports);
@@ -79,6 +82,8 @@
     /// Shards of the pool to which a job of this id may belong: the shard of jobs that end, then the shard of long-running jobs if it
     /// is another one. Empty while the division of the fleet is not known.
     std::vector<std::string> shardsOf(const std::string &pool, const std::string &job) const;
+    /// The longest time that a listed end has waited for its acknowledgement in any pool of this entry; 0 if none waits.
+    Millis oldestUnackedEndAge() const;
     const Leases &leases() const
     {
         return *m_leases;
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -279,6 +279,31 @@
     }
 }
 
+void Pool::onAcknowledged(const std::string &workerId, std::int64_t cursor)
+{
+    if (const auto it = m_workers.find(workerId); it != m_workers.end()) {
+        it->second->unackedEnds.onAcknowledged(cursor);
+    }
+}
+
+std::optional<OldestUnackedEnd> Pool::oldestUnackedEnd(Millis now) const
+{
+    std::optional<OldestUnackedEnd> oldest;
+    for (const auto &[id, worker] : m_workers) {
+        const auto &ends = worker->unackedEnds;
+        if (ends.empty() || (oldest && now - ends.oldestListedAt() <= oldest->age)) {
+            continue;
+        }
+        oldest = {.workerId = id, .end = ends.oldestEnd(), .age = now - ends.oldestListedAt(), .delay = AckDelay::RenewalNotSent};
+        if (!isReachable(*worker)) {
+            oldest->delay = AckDelay::WorkerUnreachable;
+        } else if (ends.oldestEnd() > worker->ackCursor) {
+            oldest->delay = AckDelay::RecordNotCommitted;
+        }
+    }
+    return oldest;
+}
+
 Millis Pool::deadlineFor(const Worker &worker, Millis now) const
 {
     if (!worker.synced || worker.answeredAt.count == 0) {
@@ -320,6 +345,7 @@
     worker.incarnationStart = result.incarnationStart;
     ++worker.epoch;
     worker.lastProcessedEnd = worker.ackCursor = worker.ackInFlight = 0;
+    worker.unackedEnds.clear();
     worker.failuresInARow = 0;
     for (Run *const it : std::vector<Run *>(worker.runs)) {
         if (it->incarnationStart == result.incarnationStart) {
@@ -376,6 +402,7 @@
             onEnd(worker, it, now, wall);
             worker.lastProcessedEnd = it.number;
             m_unackedWorkers.insert(workerId);
+            worker.unackedEnds.onListed(it.number, now);
         }
     }
     std::set<const Run *> listed;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -9,6 +9,7 @@
 #include "ports/workers.hpp"
 #include "scheduling/order.hpp"
 #include "scheduling/placement.hpp"
+#include "scheduling/unackedends.hpp"
 #include "shards/publishedload.hpp"
 #include "upkeep/poolreport.hpp"
 
@@ -141,6 +142,7 @@
     std::int64_t lastProcessedEnd = 0; ///< highest end number processed in this incarnation
     std::int64_t ackCursor = 0; ///< ends up to this number are committed
     std::int64_t ackInFlight = 0;
+    UnackedEnds unackedEnds;
     std::int64_t incarnationStart = 0; ///< incarnation that responded last, Unix milliseconds
     /// Consecutive renewals and starts without a response.
     int misses = 0;
@@ -188,6 +190,8 @@
     /// Handles the response to a renewal that was sent at `sentAt` with the fencing token `renewalFence`.
     void onHold(const std::string &workerId, std::uint64_t renewalFence, const RenewResult &result, Millis sentAt, Millis now, Millis wall);
     void onHoldSent(const std::string &workerId, Millis now);
+    /// The worker has accepted a renewal with this acknowledgement cursor. Call before `onHold` for the same response.
+    void onAcknowledged(const std::string &workerId, std::int64_t cursor);
     void onStart(const StartOrder &order, const OrderResult &result, Millis now);
     void onStop(const StopOrder &order, const OrderResult &result, Millis now);
     void onPace(const ThrottleOrder &order, const OrderResult &result);
@@ -246,6 +250,8 @@
     Millis deadlineFor(const Worker &worker, Millis now) const;
     /// True if the worker accepted a renewal from this owner and its last renewal or start got a response.
     bool isReachable(const Worker &worker) const;
+    /// The longest-waiting end; `delay` says whether its acknowledgement may be sent, not whether it has been.
+    std::optional<OldestUnackedEnd> oldestUnackedEnd(Millis now) const;
     /// Capacity report for the fleet owner.
     PoolReport report(Millis now) const;
     PublishedLoad load(Millis now) const;
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -40,6 +40,9 @@
 /// A run iterates over all workers, so the run delay grows by one millisecond per this many workers.
 constexpr std::int64_t workersPerRunDelayMs = 25;
 constexpr int ticksPerExpiry = 50;
+constexpr int ticksPerAckReport = 10;
+/// An end that waits for its acknowledgement longer than this is reported.
+constexpr Millis reportedAckDelay{1'000};
 
 PoolOwner::PoolOwner(std::string pool, std::uint64_t fence, PoolTimes times, PoolOwnerTimes ownTimes, Ports ports)
     : m_name(std::move(pool))
@@ -183,9 +186,16 @@
             return;
         }
         run();
-        if (*alive && ++m_ticks % ticksPerExpiry == 0 && m_ports.isOwner()) {
+        if (!*alive) {
+            return;
+        }
+        ++m_ticks;
+        if (m_ticks % ticksPerExpiry == 0 && m_ports.isOwner()) {
             expire();
         }
+        if (m_ticks % ticksPerAckReport == 0) {
+            reportAckDelay();
+        }
         if (*alive) {
             scheduleTick();
         }
@@ -277,14 +287,43 @@
     }
     renewalState.inFlight = true;
     renewalState.sentAt = now;
-    m_ports.workers.renew(order,
-                          timeout,
-                          m_ports.isOwner,
-                          [this, alive = m_alive, worker = id, now, fence = order.fence, wait = order.wait](const RenewResult &result) {
-                              if (*alive) {
-                                  onRenewal(worker, fence, now, wait, result);
-                              }
-                          });
+    m_ports.workers.renew(order, timeout, m_ports.isOwner, [this, alive = m_alive, order, now](const RenewResult &result) {
+        if (*alive) {
+            onRenewal(order, now, result);
+        }
+    });
+}
+
+std::optional<OldestUnackedEnd> PoolOwner::oldestUnackedEnd(Millis now) const
+{
+    auto oldest = m_pool->oldestUnackedEnd(now);
+    if (oldest && oldest->delay == AckDelay::RenewalNotSent) {
+        const auto it = m_renewals.find(oldest->workerId);
+        oldest->delay = it != m_renewals.end() && it->second.inFlight ? AckDelay::RenewalOvertaken : AckDelay::RenewalNotSent;
+    }
+    return oldest;
+}
+
+Millis PoolOwner::oldestUnackedEndAge() const
+{
+    const auto oldest = m_pool->oldestUnackedEnd(m_ports.clock.boot());
+    return oldest ? oldest->age : Millis{};
+}
+
+void PoolOwner::reportAckDelay()
+{
+    const auto oldest = oldestUnackedEnd(m_ports.clock.boot());
+    if (!oldest || oldest->age < reportedAckDelay) {
+        return;
+    }
+    logEvent(LogLevel::Warn,
+             "end_not_acknowledged",
+             {{"pool", m_name},
+              {"worker", oldest->workerId},
+              {"end", oldest->end},
+              {"age_ms", oldest->age.count},
+              {"reason", nameOf(oldest->delay)}});
+    m_ports.ackDelayed(*oldest);
 }
 
 /// True if a probe got no response, but the worker has answered another call since the probe was sent.
@@ -294,22 +333,26 @@
     return result.outcome == OrderOutcome::Unknown && worker != m_pool->workers().end() && worker->second->answeredAt > sentAt;
 }
 
-void PoolOwner::onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result)
+void PoolOwner::onRenewal(const RenewOrder &order, Millis sentAt, const RenewResult &result)
 {
     const auto now = m_ports.clock.boot();
+    const auto &id = order.worker.id;
     auto &renewalState = m_renewals[id];
     renewalState.inFlight = false;
-    if (result.outcome == OrderOutcome::Fenced && fence == m_pool->fenceAt(id)) {
+    if (result.outcome == OrderOutcome::Fenced && order.fence == m_pool->fenceAt(id)) {
         return m_ports.superseded("worker " + id + " rejected a lease renewal: it has seen a higher fencing token");
     }
-    if (wait.count > 0 || !isOutdatedMiss(id, result, sentAt)) {
-        m_pool->onHold(id, fence, result, sentAt, now, m_ports.clock.wall());
+    if (result.outcome == OrderOutcome::Accepted) {
+        m_pool->onAcknowledged(id, order.ackCursor);
+    }
+    if (order.wait.count > 0 || !isOutdatedMiss(id, result, sentAt)) {
+        m_pool->onHold(id, order.fence, result, sentAt, now, m_ports.clock.wall());
     }
     if (result.outcome == OrderOutcome::Accepted) {
         renewalState.ackDeadline = now + ackTimeout;
         // An answer before the end of the wait says nothing about the response time.
-        if (const auto elapsed = now - sentAt; elapsed >= wait) {
-            renewalState.responseTime = elapsed - wait;
+        if (const auto elapsed = now - sentAt; elapsed >= order.wait) {
+            renewalState.responseTime = elapsed - order.wait;
         }
         renewalState.nextSendAt = {};
     } else {
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -60,6 +60,9 @@
         std::function<std::set<std::string>()> endedWorkers;
         /// Called when another owner has been detected.
         std::function<void(const std::string &reason)> superseded;
+        /// Called once a second while an end waits long for its acknowledgement.
+        std::function<void(const OldestUnackedEnd &)> ackDelayed = [](const OldestUnackedEnd &) {
+        };
     };
 
     PoolOwner(std::string pool, std::uint64_t fence, PoolTimes times, PoolOwnerTimes ownTimes, Ports ports);
@@ -74,6 +77,8 @@
     void onWorkersChanged();
     /// Returns the load to publish with the lease renewal, including the queued jobs by route.
     std::string status() const;
+    /// How long the oldest listed end has waited for its acknowledgement; 0 if none waits.
+    Millis oldestUnackedEndAge() const;
     /// Cordons the VMs until `until` and reports on the pool. Returns std::nullopt while the stored jobs are being
     /// loaded or when another entry may have claimed the shard.
     std::optional<PoolReport> report(const std::set<std::string> &keepEmpty, Millis until);
@@ -97,7 +102,7 @@
     void run();
     void sendRenewals(Millis now);
     void sendRenewal(const Worker &worker, RenewalState &renewalState, Millis now);
-    void onRenewal(const std::string &id, std::uint64_t fence, Millis sentAt, Millis wait, const RenewResult &result);
+    void onRenewal(const RenewOrder &order, Millis sentAt, const RenewResult &result);
     void sendSlowProbe(const std::string &id);
     bool isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const;
     void sendOrders(PoolOrders orders);
@@ -106,6 +111,8 @@
     void onCommitted(const std::vector<JobRow> &rows, const CommitResult &result);
     void expire();
     void scheduleTick();
+    std::optional<OldestUnackedEnd> oldestUnackedEnd(Millis now) const;
+    void reportAckDelay();
 
     std::string m_name;
     std::unique_ptr<Pool> m_pool;
--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -65,6 +65,17 @@
     return static_cast<int>(m_workers.at(id).running.size());
 }
 
+Millis FakeWorkers::oldestUnacknowledged() const
+{
+    Millis oldest;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.listedAt.empty()) {
+            oldest = std::max(oldest, m_loop.now() - worker.listedAt.begin()->second);
+        }
+    }
+    return oldest;
+}
+
 int FakeWorkers::runningOf(const std::string &job) const
 {
     int n = 0;
@@ -223,12 +234,16 @@
     if (!fenced) {
         worker.fence = order.fence;
         std::erase_if(worker.ended, [&](const RunEndReport &it) { return it.number <= order.ackCursor; });
+        std::erase_if(worker.listedAt, [&](const auto &it) { return it.first <= order.ackCursor; });
     }
     if (fenced || !worker.ended.empty() || m_loop.now() >= until) {
         RenewResult result{.outcome = fenced ? OrderOutcome::Fenced : OrderOutcome::Accepted};
         result.workerClock = clockOf(worker) * 98 / 100;
         result.incarnationStart = worker.registration.incarnationStart;
         result.ended = worker.ended;
+        for (const auto &it : fenced ? std::vector<RunEndReport>() : worker.ended) {
+            worker.listedAt.try_emplace(it.number, m_loop.now());
+        }
         worker.reportedEnds = fenced ? worker.reportedEnds : worker.ends;
         for (const auto &[subtask, running] : worker.running) {
             result.running.push_back({subtask, running.run, "", static_cast<int>(fullProgress), 0});
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -61,6 +61,8 @@
         return m_startedJobs.contains(job);
     }
     int runningOn(const std::string &id) const;
+    /// How long the oldest end that a worker has listed waits to be acknowledged; 0 if there is none.
+    Millis oldestUnacknowledged() const;
     /// Number of runs of the job on all workers.
     int runningOf(const std::string &job) const;
 
@@ -80,6 +82,7 @@
         std::vector<RunEndReport> ended;
         std::int64_t ends = 0;
         std::int64_t reportedEnds = 0;
+        std::map<std::int64_t, Millis> listedAt; ///< first list of each end that is not acknowledged
         Millis availableAt; ///< loop time
     };
 
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -84,6 +84,14 @@
 }
 
 void JobCluster::deliver(const std::string &name, std::function<void()> fn)
+{
+    if (const auto it = m_lags.find(name); it != m_lags.end()) {
+        return loop.timers().after(it->second, [this, name, fn = std::move(fn)] { deliverNow(name, fn); });
+    }
+    deliverNow(name, std::move(fn));
+}
+
+void JobCluster::deliverNow(const std::string &name, std::function<void()> fn)
 {
     if (const auto it = m_frozen.find(name); it != m_frozen.end()) {
         it->second.push_back(std::move(fn));
@@ -175,25 +183,27 @@
     EntrySettings settings{.name = name};
     settings.peerAddress = name;
     auto &entry = m_entries[name];
-    entry.host =
-        std::make_unique<ShardHost>(settings,
-                                    ShardHost::Ports{.store = storeOf(name),
-                                                     .workers = workersOf(name),
-                                                     .vms = {.list =
-                                                                 [this](Millis, std::function<void(VmListResult)> done) {
-                                                                     loop.post([done = std::move(done)] { done({}); });
-                                                                 }},
-                                                     .timers = timersOf(name),
-                                                     .clock = loop.clock(),
-                                                     .workerTable = std::string(platform::workerTable),
-                                                     .decodeWorker = platform::decodeWorker,
-                                                     .waveStatus = platform::encodeWaveStatus,
-                                                     .requestPeerReport = [](const std::string &,
-                                                                             const std::string &,
-                                                                             const std::set<std::string> &,
-                                                                             const std::function<void(std::optional<PoolReport>)> &done) {
-                                                         done(std::nullopt);
-                                                     }});
+    entry.host = std::make_unique<ShardHost>(
+        settings,
+        ShardHost::Ports{.store = storeOf(name),
+                         .workers = workersOf(name),
+                         .vms = {.list =
+                                     [this](Millis, std::function<void(VmListResult)> done) {
+                                         loop.post([done = std::move(done)] { done({}); });
+                                     }},
+                         .timers = timersOf(name),
+                         .clock = loop.clock(),
+                         .workerTable = std::string(platform::workerTable),
+                         .decodeWorker = platform::decodeWorker,
+                         .waveStatus = platform::encodeWaveStatus,
+                         .requestPeerReport = [](const std::string &,
+                                                 const std::string &,
+                                                 const std::set<std::string> &,
+                                                 const std::function<void(std::optional<PoolReport>)> &done) { done(std::nullopt); },
+                         .ackDelayed =
+                             [this](const OldestUnackedEnd &end) {
+                                 ++ackDelays[end.delay];
+                             }});
     auto *const host = entry.host.get();
     entry.intake = std::make_unique<Intake>(
         Intake::Ports{.store = storeOf(name),
--- a/tests/unit/jobcluster.hpp
+++ b/tests/unit/jobcluster.hpp
@@ -36,6 +36,11 @@
     /// has sent is carried out.
     void pauseEntry(const std::string &name);
     void resumeEntry(const std::string &name);
+    /// Delays every timer and every result of a call to the entry, as on a VM that has too little processor time.
+    void delayEntry(const std::string &name, Millis lag)
+    {
+        m_lags[name] = lag;
+    }
     /// Lets `to` request the shard of the cell from its owner. Returns whether the owner hands it over.
     bool requestShard(const std::string &to, int cell = 0);
     const ShardHost &host(const std::string &name) const
@@ -60,6 +65,8 @@
     FakeWorkers workers{loop};
     std::vector<std::string> names;
     std::map<std::string, Answer> answers;
+    /// Reports of ends that waited long for their acknowledgement, by reason.
+    std::map<AckDelay, int> ackDelays;
     std::vector<std::string> accepted;
 
 private:
@@ -68,13 +75,15 @@
         std::unique_ptr<Intake> intake;
     };
 
-    /// Runs the function, or keeps it while the entry is frozen.
+    /// Runs the function after the entry's lag, or keeps it while the entry is frozen.
     void deliver(const std::string &name, std::function<void()> fn);
+    void deliverNow(const std::string &name, std::function<void()> fn);
     TimerPort timersOf(const std::string &name);
     StorePort storeOf(const std::string &name);
     WorkerPort workersOf(const std::string &name);
 
     std::map<std::string, std::vector<std::function<void()>>> m_frozen;
+    std::map<std::string, Millis> m_lags;
     Configuration m_configuration;
     Cells m_cells;
     std::map<std::string, Entry> m_entries;
