Acknowledge the ends of busy workers although commits or the owner are late

Cause: a cursor is sent only within 300 ms of the worker's last list, since a restarted worker numbers its ends anew. But while newer ends were being committed, the next renewal waited for up to 400 ms, and it left from a run that may itself be late. With a commit or a lag of more than 300 ms, each renewal to a busy worker went without a cursor; the lists grew, and reading them made the owner later still.

Change: a renewal waits for the commit for 200 ms at most and then acknowledges what was committed before. If committed ends are outstanding when a list arrives, the next renewal is sent at once, while the cursor is valid.

The fault belongs to the class of limits that only hold while a round trip is fast.

--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -24,10 +24,12 @@
 /// Timeout of the probe that goes beside the others to an unreachable worker with runs: a slow worker can answer it before its lease
 /// expires.
 constexpr Millis slowProbeTimeout{2'000};
-/// Maximum delay of the next renewal while the ends of the last list are being persisted.
-constexpr Millis ackTimeout{400};
 /// A worker cannot have restarted undetected within this time after its last list.
 constexpr Millis incarnationValidity{300};
+/// Maximum delay of the next renewal while the ends of the last list are being persisted. After `incarnationValidity` the renewal could
+/// not acknowledge earlier ends either.
+constexpr Millis ackTimeout{200};
+static_assert(ackTimeout < incarnationValidity);
 constexpr Millis commitRetryDelay{100};
 /// Maximum number of unused renewals that accumulate, in seconds of the renewal rate.
 constexpr double renewalBurstSeconds = 0.25;
@@ -333,6 +335,12 @@
     return result.outcome == OrderOutcome::Unknown && worker != m_pool->workers().end() && worker->second->answeredAt > sentAt;
 }
 
+/// True if an end is committed and has not been acknowledged.
+static bool hasCommittedEnds(const Worker &worker)
+{
+    return !worker.unackedEnds.empty() && worker.unackedEnds.oldestEnd() <= worker.ackCursor;
+}
+
 void PoolOwner::onRenewal(const RenewOrder &order, Millis sentAt, const RenewResult &result)
 {
     const auto now = m_ports.clock.boot();
@@ -355,6 +363,12 @@
             renewalState.responseTime = elapsed - order.wait;
         }
         renewalState.nextSendAt = {};
+        if (const auto worker = m_pool->workers().find(id);
+            worker != m_pool->workers().end() && hasCommittedEnds(*worker->second) && m_renewalBudget >= 1 && m_ports.isOwner()) {
+            // The next run may come too late for the cursor, which is valid for a short time after a list.
+            m_renewalBudget -= 1;
+            sendRenewal(*worker->second, renewalState, now);
+        }
     } else {
         renewalState.nextSendAt = now + unreachableRenewalInterval;
     }
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -1,7 +1,7 @@
 // Promises of a pool whose owner is late: its VM has too little processor time, or the store answers slowly.
 #include "unit/jobcluster.hpp"
 
-
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -12,6 +12,8 @@
 {
 
 constexpr Millis startupTime{3'000};
+/// The users allow this long for an end to be acknowledged.
+constexpr Millis ackTimeout{4'000};
 
 } // namespace
 
@@ -37,3 +39,22 @@
     }
     CHECK(seen == expected.at(fault));
 }
+
+TEST_CASE("the ends on busy workers are acknowledged although their owner is late")
+{
+    const auto lag = GENERATE(Millis{0}, Millis{150}, Millis{320}, Millis{450});
+    const auto storeLatency = GENERATE(Millis{4}, Millis{250}, Millis{400});
+    CAPTURE(lag.count, storeLatency.count);
+    JobCluster cluster(1, 3);
+    cluster.loop.advance(startupTime);
+    cluster.store.latency = storeLatency;
+    cluster.delayEntry("e0", lag);
+    Millis longest;
+    for (int i = 0; i < 200; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(3, 1'000, {180 + 13 * (i % 7)})}));
+        cluster.loop.advance({50});
+        longest = std::max(longest, cluster.workers.oldestUnacknowledged());
+    }
+    CHECK(cluster.workers.starts > 50);
+    CHECK(longest < ackTimeout);
+}
