Commit changed jobs in the order of their changes, and acknowledge ends with their own records

Cause: a transaction holds 48 jobs and took those with the smallest ids, so that with more changes than that between two transactions the jobs with the largest ids were never committed, and their starts never sent. Ends were acknowledged only when no changed job at all was left, which under such a load never happens.

Change: changes are numbered, a transaction takes the jobs with the oldest changes, and an end is acknowledged as soon as all changes up to its own are in the store.

Measured: "a changed job is committed and its ends acknowledged although other jobs keep changing" failed before (the first job was not committed in 20 transactions, nor its end acknowledged in 20 more) and passes now.

--- /dev/null
+++ b/src/scheduling/changedjobs.hpp
@@ -0,0 +1,59 @@
+// Jobs whose progress has changed and is not in the store yet, in the order of their changes.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hibiscusbridge::jobs
+{
+
+/// Changes are numbered from 1. A job keeps the number of its oldest change that is not part of a transaction, so that the jobs that
+/// change most do not delay the others.
+class ChangedJobs
+{
+public:
+    void add(const std::string &id);
+    bool empty() const
+    {
+        return m_order.empty();
+    }
+    /// True if the job has a change that is not in the store, in flight or not.
+    bool contains(const std::string &id) const
+    {
+        return m_numbers.contains(id) || m_inFlight.contains(id);
+    }
+    /// Number of the latest change.
+    std::uint64_t latest() const
+    {
+        return m_latest;
+    }
+    /// Moves up to `limit` jobs with the oldest changes into the transaction in flight and returns their ids. Must not be called while
+    /// a transaction is in flight.
+    std::vector<std::string> take(std::size_t limit);
+    /// All changes up to this number are in the store or part of the transaction in flight.
+    std::uint64_t takenUpTo() const
+    {
+        return m_order.empty() ? m_latest : m_order.begin()->first - 1;
+    }
+    const std::map<std::string, std::uint64_t> &inFlight() const
+    {
+        return m_inFlight;
+    }
+    void onCommitted()
+    {
+        m_inFlight.clear();
+    }
+    /// Puts the jobs of the transaction in flight back to their places.
+    void onCommitFailed();
+
+private:
+    std::map<std::uint64_t, std::string> m_order;
+    std::map<std::string, std::uint64_t> m_numbers;
+    std::map<std::string, std::uint64_t> m_inFlight;
+    std::uint64_t m_latest = 0;
+};
+
+} // namespace hibiscusbridge::jobs
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -366,7 +366,7 @@
         if (job.phase == JobPhase::Queued) {
             job.phase = JobPhase::Running;
         }
-        markDirty(job);
+        markChanged(job);
     };
     if (step.gang) {
         int number = 0;
@@ -469,26 +469,23 @@
 std::vector<JobRow> Pool::takeRecords(std::size_t limit)
 {
     std::vector<JobRow> rows;
-    while (!m_dirty.empty() && rows.size() < limit) {
-        const auto id = *m_dirty.begin();
-        m_dirty.erase(m_dirty.begin());
+    for (const auto &id : m_changed.take(limit)) {
         const auto it = m_jobs.find(id);
         if (it == m_jobs.end()) {
             continue;
         }
         rows.push_back({id, encodeRecord(recordOf(*it->second))});
-        m_committing.insert(id);
         forEachRun(*it->second, [](Run &run) { run.phase = run.phase == RunPhase::Placed ? RunPhase::Committing : run.phase; });
     }
-    if (m_dirty.empty()) {
-        // All ends processed so far are part of this transaction or an earlier one.
-        for (const auto &id : m_unackedWorkers) {
-            if (const auto it = m_workers.find(id); it != m_workers.end()) {
-                it->second->ackInFlight = it->second->lastProcessedEnd;
-            }
+    std::erase_if(m_unackedWorkers, [this](const std::string &id) {
+        const auto it = m_workers.find(id);
+        if (it == m_workers.end()) {
+            return true;
         }
-        m_unackedWorkers.clear();
-    }
+        auto &worker = *it->second;
+        worker.ackInFlight = std::max(worker.ackInFlight, worker.unackedEnds.acknowledgeable(m_changed.takenUpTo()));
+        return worker.ackInFlight >= worker.lastProcessedEnd;
+    });
     return rows;
 }
 
@@ -520,7 +517,7 @@
 PoolOrders Pool::onRecordsCommitted(Millis now)
 {
     PoolOrders orders;
-    for (const auto &id : m_committing) {
+    for (const auto &[id, change] : m_changed.inFlight()) {
         const auto it = m_jobs.find(id);
         if (it == m_jobs.end()) {
             continue;
@@ -541,7 +538,7 @@
             dropRun(*run, now, "not-started");
         }
     }
-    m_committing.clear();
+    m_changed.onCommitted();
     for (auto &[id, worker] : m_workers) {
         worker->ackCursor = std::max(worker->ackCursor, worker->ackInFlight);
     }
@@ -550,13 +547,12 @@
 
 void Pool::onCommitFailed()
 {
-    for (const auto &id : m_committing) {
-        m_dirty.insert(id);
+    for (const auto &[id, change] : m_changed.inFlight()) {
         if (const auto it = m_jobs.find(id); it != m_jobs.end()) {
             forEachRun(*it->second, [](Run &run) { run.phase = run.phase == RunPhase::Committing ? RunPhase::Placed : run.phase; });
         }
     }
-    m_committing.clear();
+    m_changed.onCommitFailed();
     for (auto &[id, worker] : m_workers) {
         if (worker->ackInFlight > worker->ackCursor) {
             worker->ackInFlight = worker->ackCursor;
@@ -612,8 +608,7 @@
         if (ids.size() >= limit) {
             break;
         }
-        if (isFinal(job->phase) && job->runCount == 0 && job->endedAt < endedBefore && !m_dirty.contains(id)
-            && !m_committing.contains(id)) {
+        if (isFinal(job->phase) && job->runCount == 0 && job->endedAt < endedBefore && !m_changed.contains(id)) {
             ids.push_back(id);
         }
     }
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -53,9 +53,9 @@
     return run.job->spec.steps[static_cast<std::size_t>(run.step)];
 }
 
-void Pool::markDirty(Job &job)
+void Pool::markChanged(Job &job)
 {
-    m_dirty.insert(job.spec.id);
+    m_changed.add(job.spec.id);
     m_active.insert(&job);
 }
 
@@ -159,7 +159,7 @@
     std::erase(worker.runs, &run);
     --job.runCount;
     std::erase_if(subtask.runs, [&run](const auto &it) { return it.get() == &run; });
-    markDirty(job);
+    markChanged(job);
 }
 
 Run *Pool::findRun(Worker &worker, const SubtaskId &subtask, int number) const
@@ -208,7 +208,7 @@
               {"age_ms", (now - job.submittedAt).count},
               {"objective_ms", latencyObjective(job.spec).count}});
     stopRuns(job, now);
-    markDirty(job);
+    markChanged(job);
 }
 
 void Pool::cancelJob(const std::string &id, Millis now, Millis wall)
@@ -402,7 +402,7 @@
             onEnd(worker, it, now, wall);
             worker.lastProcessedEnd = it.number;
             m_unackedWorkers.insert(workerId);
-            worker.unackedEnds.onListed(it.number, now);
+            worker.unackedEnds.onListed(it.number, now, m_changed.latest());
         }
     }
     std::set<const Run *> listed;
@@ -435,7 +435,7 @@
         }
         if (!it.checkpoint.empty() && it.checkpoint != subtask.checkpoint && stepOf(*run).checkpointing) {
             subtask.checkpoint = it.checkpoint;
-            m_dirty.insert(run->job->spec.id);
+            m_changed.add(run->job->spec.id);
         }
     }
     const bool firstList = !worker.synced;
@@ -508,7 +508,7 @@
     const auto &step = job.spec.steps[static_cast<std::size_t>(id.step)];
     auto &steps = job.occurrences[static_cast<std::size_t>(id.occurrence)];
     auto &subtask = steps[static_cast<std::size_t>(id.step)][static_cast<std::size_t>(id.index)];
-    markDirty(job);
+    markChanged(job);
     job.begun = true;
     subtask.lastRun = std::max(subtask.lastRun, end.run);
     if (Run *const run = findRun(worker, id, end.run)) {
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -7,6 +7,7 @@
 
 #include "jobs/job.hpp"
 #include "ports/workers.hpp"
+#include "scheduling/changedjobs.hpp"
 #include "scheduling/order.hpp"
 #include "scheduling/placement.hpp"
 #include "scheduling/unackedends.hpp"
@@ -244,7 +245,7 @@
     }
     bool hasUnsavedChanges() const
     {
-        return !m_dirty.empty() || !m_unackedWorkers.empty();
+        return !m_changed.empty() || !m_unackedWorkers.empty();
     }
     /// Lease deadline, on the worker's clock, for a renewal or start sent now; 0 if that clock is unknown.
     Millis deadlineFor(const Worker &worker, Millis now) const;
@@ -267,7 +268,7 @@
     std::int64_t remainingWork(const Job &job) const;
     Subtask &subtaskOf(const Run &run) const;
     static const StepSpec &stepOf(const Run &run);
-    void markDirty(Job &job);
+    void markChanged(Job &job);
     Run &addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker);
     /// Removes a run that can no longer be on its worker.
     void dropRun(Run &run, Millis now, const char *reason);
@@ -300,9 +301,7 @@
     std::map<std::string, std::unique_ptr<Worker>> m_workers;
     /// Jobs that are not final or still have runs.
     std::set<Job *> m_active;
-    /// Jobs with changes that are not committed.
-    std::set<std::string> m_dirty;
-    std::set<std::string> m_committing;
+    ChangedJobs m_changed;
     /// Workers with processed ends that are not committed and so not acknowledged yet.
     std::set<std::string> m_unackedWorkers;
     /// A run that a worker lists but that this pool did not start or has dropped. It is stopped.
--- a/src/scheduling/unackedends.cpp
+++ b/src/scheduling/unackedends.cpp
@@ -19,13 +19,25 @@
     return "unknown";
 }
 
-void UnackedEnds::onListed(std::int64_t lastEnd, Millis now)
+void UnackedEnds::onListed(std::int64_t lastEnd, Millis now, std::uint64_t change)
 {
     if (m_lists.empty() || lastEnd > m_lists.back().lastEnd) {
-        m_lists.push_back({lastEnd, now});
+        m_lists.push_back({lastEnd, now, change});
     }
 }
 
+std::int64_t UnackedEnds::acknowledgeable(std::uint64_t change) const
+{
+    std::int64_t end = 0;
+    for (const auto &it : m_lists) {
+        if (it.change > change) {
+            break;
+        }
+        end = it.lastEnd;
+    }
+    return end;
+}
+
 void UnackedEnds::onAcknowledged(std::int64_t cursor)
 {
     while (!m_lists.empty() && m_lists.front().lastEnd <= cursor) {
--- a/src/scheduling/unackedends.hpp
+++ b/src/scheduling/unackedends.hpp
@@ -29,8 +29,10 @@
 class UnackedEnds
 {
 public:
-    /// Ends up to `lastEnd` were listed at `now` and have been processed.
-    void onListed(std::int64_t lastEnd, Millis now);
+    /// Ends up to `lastEnd` were listed at `now` and have been processed; `change` is the number of the latest change to a job.
+    void onListed(std::int64_t lastEnd, Millis now, std::uint64_t change);
+    /// The last end that may be acknowledged once all changes up to this number are in the store; 0 if there is none.
+    std::int64_t acknowledgeable(std::uint64_t change) const;
     /// The worker has accepted a renewal that acknowledges ends up to `cursor`.
     void onAcknowledged(std::int64_t cursor);
     void clear()
@@ -56,6 +58,7 @@
     struct List {
         std::int64_t lastEnd = 0;
         Millis listedAt;
+        std::uint64_t change = 0;
     };
 
     std::deque<List> m_lists;
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -1,6 +1,8 @@
 // Promises of a pool whose owner is late: its VM has too little processor time, or the store answers slowly.
 #include "unit/jobcluster.hpp"
 
+#include "scheduling/pool.hpp"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
@@ -58,3 +60,46 @@
     CHECK(cluster.workers.starts > 50);
     CHECK(longest < ackTimeout);
 }
+TEST_CASE("a changed job is committed and its ends acknowledged although other jobs keep changing")
+{
+    Pool pool("pool", 7, {});
+    const Millis now{100'000};
+    pool.setWorkers({{.id = "w", .service = "pool", .address = "w", .incarnationStart = 5, .capacity = {800'000, 800'000, 0}}}, now);
+    RenewResult list{.outcome = OrderOutcome::Accepted, .workerClock = {1'000}, .incarnationStart = 5};
+    pool.onHold("w", pool.fenceAt("w"), list, now, now, now);
+    int rounds = 0;
+    int nextId = 900'000;
+    std::string firstJob;
+    const auto addJobs = [&] {
+        // Later jobs have smaller ids, and there are more of them than a transaction holds.
+        for (int i = 0; i < 12; ++i) {
+            JobSpec spec{.id = jobId(nextId--), .route = "route"};
+            spec.steps = {makeStep(1, 10, {100})};
+            pool.addJob(spec, std::nullopt, now, now);
+            firstJob = firstJob.empty() ? spec.id : firstJob;
+        }
+        pool.schedule(now, now, true);
+    };
+    addJobs();
+    std::vector<JobRow> rows;
+    const auto isFirst = [&](const JobRow &it) {
+        return it.id == firstJob;
+    };
+    do {
+        addJobs();
+        rows = pool.takeRecords(10);
+        REQUIRE(rows.size() == 10);
+        pool.onRecordsCommitted(now);
+    } while (std::none_of(rows.begin(), rows.end(), isFirst) && ++rounds < 20);
+    // 24 jobs had changed by the first transaction.
+    CHECK(rounds <= 2);
+    list.ended = {{.number = 1, .subtask = {firstJob, 0, 0, 0}, .run = 1, .end = RunEnd::Done}};
+    pool.onHold("w", pool.fenceAt("w"), list, now, now, now);
+    for (rounds = 0; pool.workers().at("w")->ackCursor < 1 && rounds < 20; ++rounds) {
+        addJobs();
+        pool.takeRecords(10);
+        pool.onRecordsCommitted(now);
+    }
+    // Fewer than 36 jobs had changed before the end.
+    CHECK(rounds <= 4);
+}
