--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -103,3 +103,31 @@
     // Fewer than 36 jobs had changed before the end.
     CHECK(rounds <= 4);
 }
+TEST_CASE("the queue length is refused or includes the jobs that have waited for long although the owner is late")
+{
+    // The users allow a job to be missing for 5 s after it was accepted, and half of the waiting jobs at any time.
+    const auto lag = GENERATE(Millis{100}, Millis{400}, Millis{900}, Millis{1'700}, Millis{2'600});
+    CAPTURE(lag.count);
+    constexpr Millis visibleAfter{5'000};
+    JobCluster cluster(3, 1);
+    cluster.workers.durationPercent = 1'000;
+    cluster.loop.advance(startupTime);
+    const auto owner = cluster.owner();
+    REQUIRE_FALSE(owner.empty());
+    const std::string other = owner == "e0" ? "e1" : "e0";
+    cluster.delayEntry(owner, lag);
+    std::vector<std::pair<std::string, Millis>> submitted;
+    for (int i = 0; i < 300; ++i) {
+        cluster.submit(other, makeJob(jobId(i), {makeStep(4, 2'000, {1'000})}));
+        submitted.emplace_back(jobId(i), cluster.loop.now());
+        cluster.loop.advance({50});
+        const auto waiting = std::count_if(submitted.begin(), submitted.end(), [&](const auto &it) {
+            return it.second + visibleAfter < cluster.loop.now() && !cluster.workers.hasStarted(it.first);
+        });
+        const auto answer = cluster.readQueue(other);
+        if (answer.kind == AnswerKind::QueuedCount) {
+            REQUIRE(answer.queued * 2 >= waiting);
+        }
+    }
+    CHECK(cluster.accepted.size() == 300);
+}
