Give up subtasks that crash their workers, and run suspects apart

Cause: only ends that a worker lists as failed counted as attempts. A run lost with its worker left no trace in the subtask or in the record that the next owner reads, and the subtask was packed onto the fullest worker again.

Change: a crash is a worker incarnation that is known to have been replaced, not a silence. It makes suspects of the runs started within 0.25 s before its last response (src/scheduling/crashes). A suspect starts on a worker where nothing else was started in that time, and nothing else is started there for 0.2 s; at most half of the workers serve this at a time. If that worker crashes at once as well, the subtask is the cause and its job fails; without such a proof it fails with the fourth crash, which allows one start after the third. Losses of a rack are not attributed. Crashes are stored with the subtask, one for each incarnation, so that they last over a change of owner and count once; a crash that is seen only after the lease has expired is confirmed later. Callers are told the reason with the state.

Conclusion: the count needed a place in the record, and the harm was in the placement.

--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -183,11 +183,12 @@
                                return fail(result.error);
                            }
                            if (!result.rows.empty()) {
-                               const auto phase = decodePhase(result.rows.front().value);
-                               if (!phase) {
+                               auto outcome = decodeOutcome(result.rows.front().value);
+                               if (!outcome) {
                                    return fail("invalid progress record");
                                }
-                               return done({.kind = AnswerKind::State, .phase = *phase});
+                               return done(
+                                   {.kind = AnswerKind::State, .phase = outcome->phase, .reason = std::move(outcome->failureReason)});
                            }
                            const auto submission = submissionKey(shard, id);
                            m_ports.store.read({submission.table, submission.part, id, id + '\x01', 1},
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -9,6 +9,11 @@
 namespace hibiscusbridge::jobs
 {
 
+std::string toString(const SubtaskId &id)
+{
+    return id.job + "." + std::to_string(id.occurrence) + "." + std::to_string(id.step) + "." + std::to_string(id.index);
+}
+
 JobRecord emptyRecord(const JobSpec &spec)
 {
     JobRecord record;
@@ -144,7 +149,24 @@
     for (const auto &it : subtask.runs) {
         runs.push_back(Json::array({it.number, it.workerId, it.workerStartedAt}));
     }
-    return Json::array({subtask.done ? 1 : 0, subtask.failedRuns, subtask.lastRun, subtask.checkpoint, std::move(runs)});
+    auto json = Json::array({subtask.done ? 1 : 0, subtask.failedRuns, subtask.lastRun, subtask.checkpoint, std::move(runs)});
+    if (!subtask.crashes.empty()) {
+        Json crashes = Json::array();
+        for (const auto &it : subtask.crashes) {
+            crashes.push_back(Json::array({it.workerId, it.workerStartedAt, static_cast<int>(it.suspicion), it.confirmed}));
+        }
+        json.push_back(std::move(crashes));
+    }
+    return json;
+}
+
+static CrashRecord decodeCrash(const Json &json)
+{
+    CrashRecord crash{.workerId = json.at(0).get<std::string>(), .workerStartedAt = toNumber(json.at(1))};
+    const auto suspicion = std::clamp(toInt(json.at(2)), 0, static_cast<int>(Suspicion::SoleSuspect));
+    crash.suspicion = static_cast<Suspicion>(suspicion);
+    crash.confirmed = json.at(3).get<bool>();
+    return crash;
 }
 
 static SubtaskRecord decodeSubtask(const Json &json)
@@ -163,6 +185,11 @@
     for (const auto &it : json.at(4)) {
         subtask.runs.push_back({toInt(it.at(0)), it.at(1).get<std::string>(), toNumber(it.at(2))});
     }
+    if (json.size() > 5) { // Records of earlier versions have no crashes.
+        for (const auto &it : json.at(5)) {
+            subtask.crashes.push_back(decodeCrash(it));
+        }
+    }
     return subtask;
 }
 
@@ -180,7 +207,11 @@
         }
         occurrences.push_back(std::move(stepsJson));
     }
-    return dump(Json::array({static_cast<int>(record.phase), record.endedAt.count, std::move(occurrences)}));
+    auto json = Json::array({static_cast<int>(record.phase), record.endedAt.count, std::move(occurrences)});
+    if (!record.failureReason.empty()) {
+        json.push_back(record.failureReason);
+    }
+    return dump(json);
 }
 
 static std::optional<JobPhase> phaseOf(const Json &json)
@@ -203,6 +234,7 @@
         }
         record.phase = *phase;
         record.endedAt = {toNumber(json.at(1))};
+        record.failureReason = json.size() > 3 ? json.at(3).get<std::string>() : std::string();
         for (std::size_t k = 0; k < record.occurrences.size(); ++k) {
             for (std::size_t step = 0; step < record.occurrences[k].size(); ++step) {
                 for (std::size_t i = 0; i < record.occurrences[k][step].size(); ++i) {
@@ -216,10 +248,20 @@
     }
 }
 
-std::optional<JobPhase> decodePhase(std::string_view text)
+std::optional<JobOutcome> decodeOutcome(std::string_view text)
 {
     const auto json = Json::parse(text, nullptr, false);
-    return json.is_array() && !json.empty() ? phaseOf(json[0]) : std::nullopt;
+    const auto phase = json.is_array() && !json.empty() ? phaseOf(json[0]) : std::nullopt;
+    if (!phase) {
+        return std::nullopt;
+    }
+    return JobOutcome{*phase, json.size() > 3 && json[3].is_string() ? json[3].get<std::string>() : std::string()};
+}
+
+std::optional<JobPhase> decodePhase(std::string_view text)
+{
+    const auto outcome = decodeOutcome(text);
+    return outcome ? std::optional(outcome->phase) : std::nullopt;
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -129,6 +129,25 @@
     bool operator==(const RunRecord &) const = default;
 };
 
+/// Evidence that a crashed worker gives against a subtask that had just been started on it.
+enum class Suspicion {
+    /// Others may have been started at the same time, or the time of the crash is not known well.
+    RecentStart,
+    /// The worker crashed at once, and a suspect was the only run that had just been started.
+    SoleSuspect,
+};
+
+/// A worker incarnation that was lost shortly after it had been told to start the subtask.
+struct CrashRecord {
+    std::string workerId;
+    std::int64_t workerStartedAt = 0; ///< start of the worker's incarnation, Unix milliseconds
+    Suspicion suspicion = Suspicion::RecentStart;
+    /// A later incarnation has been seen. Until then the worker may only be unreachable.
+    bool confirmed = false;
+
+    bool operator==(const CrashRecord &) const = default;
+};
+
 struct SubtaskRecord {
     bool done = false;
     /// Numbers of the failed runs. Successive owners may receive a report of the same end; it counts once.
@@ -137,6 +156,8 @@
     int lastRun = 0;
     std::string checkpoint;
     std::vector<RunRecord> runs;
+    /// At most one entry for each worker incarnation, so that successive owners count a crash once.
+    std::vector<CrashRecord> crashes;
 
     bool operator==(const SubtaskRecord &) const = default;
 };
@@ -159,6 +180,7 @@
     JobPhase phase = JobPhase::Queued;
     std::vector<std::vector<std::vector<SubtaskRecord>>> occurrences;
     Millis endedAt; ///< wall clock; 0 until the job reaches a final phase
+    std::string failureReason; ///< empty unless the job has failed
 
     bool operator==(const JobRecord &) const = default;
 };
@@ -175,4 +197,7 @@
     auto operator<=>(const SubtaskId &) const = default;
 };
 
+/// Formats as `JOB.OCCURRENCE.STEP.INDEX`, for logs and messages.
+std::string toString(const SubtaskId &id);
+
 } // namespace hibiscusbridge::jobs
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -27,6 +27,8 @@
 /// An accepted stop is sent again if the run's end is not listed within this time.
 constexpr Millis stopRetryInterval{2'000};
 
+/// A suspect keeps its worker from other starts for a while, so at most one of this many workers runs one at a time.
+constexpr std::size_t workersPerProbation = 2;
 /// Window for measuring the arrival rate of work; short compared with a load surge of a few seconds.
 constexpr Millis arrivalWindow{800};
 
@@ -43,6 +45,7 @@
         if (worker->runs.empty() || isReachable(*worker) || now <= worker->leaseExpiry) {
             continue;
         }
+        onWorkerLost(*worker, worker->runs, worker->answeredAt, false, now);
         for (Run *const it : std::vector<Run *>(worker->runs)) {
             if (it->phase != RunPhase::Placed && it->phase != RunPhase::Committing) {
                 dropRun(*it, now, "lease-over");
@@ -99,7 +102,10 @@
         const auto &step = stepOf(*run);
         it.serving += step.longRunning ? 1 : 0;
         it.spareCpuRuns += step.usesSpareCpu ? 1 : 0;
+        it.inProbation = it.inProbation || isInProbation(*run, now);
+        it.lastStartAt = std::max(it.lastStartAt, run->phase == RunPhase::Running ? run->confirmedAt : now);
     }
+    it.usable = it.usable && !it.inProbation;
     return it;
 }
 
@@ -282,6 +288,16 @@
     std::vector<Worker *> workers;
     /// Highest free CPU of any usable worker; steps that need more are skipped early.
     std::int64_t mostFreeCpu = 0;
+    /// Workers on which a suspect is in probation, and how many may be at the same time.
+    std::size_t probations = 0;
+    std::size_t maxProbations = 0;
+
+    /// Starts nothing else on the worker in this pass.
+    void startProbation(std::size_t i)
+    {
+        candidates[i].usable = false;
+        ++probations;
+    }
 
     void refresh()
     {
@@ -324,6 +340,21 @@
     return std::nullopt;
 }
 
+/// Chooses a worker for a subtask that may crash it and keeps that worker from other starts. If something has just been started on every
+/// worker that fits, the quietest one is kept for a later pass.
+std::optional<std::size_t> Pool::chooseForSuspect(const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const
+{
+    if (round.probations >= round.maxProbations) {
+        return std::nullopt;
+    }
+    const auto choice = jobs::chooseForSuspect(step, candidates, now - recentStartWindow);
+    if (const auto kept = choice ? choice : chooseQuietest(step, candidates)) {
+        round.startProbation(*kept);
+        candidates[*kept].usable = false;
+    }
+    return choice;
+}
+
 void Pool::placeStep(const Ready &ready, Round &round, Millis now)
 {
     auto &job = *ready.job;
@@ -357,10 +388,12 @@
         run.placedAt = now;
         subtask.lastRun = number;
         round.candidates[choice].free = round.candidates[choice].free - run.reserved;
+        round.candidates[choice].lastStartAt = now;
         round.candidates[choice].serving += step.longRunning ? 1 : 0;
         round.candidates[choice].spareCpuRuns += step.usesSpareCpu ? 1 : 0;
         if (!stepCandidates.empty()) {
             stepCandidates[choice].free = round.candidates[choice].free;
+            stepCandidates[choice].lastStartAt = now;
             ++stepCandidates[choice].siblings;
         }
         if (job.phase == JobPhase::Queued) {
@@ -376,7 +409,11 @@
             }
             number = std::max(number, it.lastRun);
         }
-        if (const auto chosen = chooseGang(step, candidates, step.count)) {
+        const bool suspect = std::any_of(subtasks.begin(), subtasks.end(), [](const Subtask &it) { return !it.crashes.empty(); });
+        if (suspect && round.probations >= round.maxProbations) {
+            return;
+        }
+        if (const auto chosen = chooseGang(step, candidates, step.count, suspect)) {
             std::string checkpoint;
             for (const auto &it : subtasks) {
                 checkpoint = it.checkpoint.empty() ? checkpoint : it.checkpoint;
@@ -385,6 +422,9 @@
                 subtasks[static_cast<std::size_t>(i)].checkpoint = checkpoint;
                 place(i, (*chosen)[static_cast<std::size_t>(i)], number + 1);
             }
+            for (const auto i : suspect ? std::set<std::size_t>(chosen->begin(), chosen->end()) : std::set<std::size_t>()) {
+                round.startProbation(i);
+            }
         }
         return;
     }
@@ -393,7 +433,11 @@
         if (subtask.done || !subtask.runs.empty() || subtask.retryAt > now) {
             continue;
         }
-        auto choice = chooseWorker(step, candidates, siblingRack);
+        const bool suspect = !subtask.crashes.empty();
+        auto choice = suspect ? chooseForSuspect(step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
+        if (!choice && suspect) {
+            continue;
+        }
         if (!choice && step.longRunning && !advised) {
             choice = chooseOrReserve(ready, round, now);
         }
@@ -410,6 +454,7 @@
         m_arrivals.pop_front();
     }
     dropExpiredRuns(now);
+    giveUpCrashingSubtasks(now, wall);
     if (mayMove) {
         evictLongRunning(now);
     }
@@ -420,7 +465,12 @@
         for (const auto &[id, worker] : m_workers) {
             round.candidates.push_back(candidateOf(*worker, now));
             round.workers.push_back(worker.get());
+            if (isUsable(*worker, now)) {
+                round.probations += round.candidates.back().inProbation ? 1 : 0;
+                ++round.maxProbations;
+            }
         }
+        round.maxProbations = std::max<std::size_t>(round.maxProbations / workersPerProbation, 1);
         round.refresh();
         for (const auto &it : ready) {
             placeStep(it, round, now);
@@ -435,6 +485,7 @@
     auto record = emptyRecord(job.spec);
     record.phase = job.phase;
     record.endedAt = job.endedAt;
+    record.failureReason = job.failureReason;
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
         for (std::size_t s = 0; s < job.occurrences[k].size(); ++s) {
             for (std::size_t i = 0; i < job.occurrences[k][s].size(); ++i) {
@@ -444,6 +495,7 @@
                 to.failedRuns = from.failedRuns;
                 to.lastRun = from.lastRun;
                 to.checkpoint = from.done ? std::string() : from.checkpoint;
+                to.crashes = from.done ? std::vector<CrashRecord>() : from.crashes;
                 for (const auto &it : from.runs) {
                     to.runs.push_back({it->number, it->worker->entry.id, it->incarnationStart});
                 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -19,6 +19,13 @@
     return step.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) != worker.labels.end();
 }
 
+/// CPU in use, in thousandths of the worker's capacity.
+static std::int64_t usedShareOf(const Candidate &worker)
+{
+    const auto used = worker.capacity.cpuMilli - worker.free.cpuMilli;
+    return worker.capacity.cpuMilli > 0 ? used * 1000 / worker.capacity.cpuMilli : 1000;
+}
+
 /// Lower is better. Compares failure penalty, rack of the data and siblings, interference and load, in this order.
 static auto costOf(const StepSpec &step, const Candidate &worker, std::string_view siblingRack)
 {
@@ -31,12 +38,10 @@
     } else if (step.tailLatencyTarget.count > 0) {
         interference = worker.spareCpuRuns;
     }
-    const auto used = worker.capacity.cpuMilli - worker.free.cpuMilli;
-    const auto share = worker.capacity.cpuMilli > 0 ? used * 1000 / worker.capacity.cpuMilli : 1000;
     // Packed onto the workers that already run long-running subtasks, and onto the fullest ones, so that idle VMs can be moved or
     // maintained. A VM with a long-running subtask can't be moved to another pool.
     const auto load = step.longRunning ? -worker.serving : 0;
-    return std::make_tuple(worker.failurePenalty, farFromData || farFromSiblings, interference, load, -share);
+    return std::make_tuple(worker.failurePenalty, farFromData || farFromSiblings, interference, load, -usedShareOf(worker));
 }
 
 std::optional<std::size_t> chooseWorker(const StepSpec &step, std::span<const Candidate> workers, std::string_view siblingRack)
@@ -53,6 +58,32 @@
     return best;
 }
 
+std::optional<std::size_t> chooseForSuspect(const StepSpec &step, std::span<const Candidate> workers, Millis quietSince)
+{
+    const auto costOf = [](const Candidate &it) {
+        return std::make_pair(it.failurePenalty, usedShareOf(it));
+    };
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        const bool quiet = workers[i].lastStartAt <= quietSince;
+        if (quiet && canTake(step, workers[i]) && (!best || costOf(workers[i]) < costOf(workers[*best]))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> chooseQuietest(const StepSpec &step, std::span<const Candidate> workers)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (canTake(step, workers[i]) && (!best || workers[i].lastStartAt < workers[*best].lastStartAt)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
 static std::optional<std::vector<std::size_t>> chooseGangOn(const StepSpec &step,
                                                             std::span<const Candidate> workers,
                                                             int count,
@@ -77,8 +108,15 @@
     return chosen;
 }
 
-std::optional<std::vector<std::size_t>> chooseGang(const StepSpec &step, std::span<const Candidate> workers, int count)
+std::optional<std::vector<std::size_t>> chooseGang(const StepSpec &step, std::span<const Candidate> workers, int count, bool apart)
 {
+    if (apart && step.maxPerWorker != 1) {
+        auto spread = step;
+        spread.maxPerWorker = 1;
+        if (auto chosen = chooseGang(spread, workers, count)) {
+            return chosen;
+        }
+    }
     if (step.sameRack) {
         std::set<std::string_view> racks;
         for (const auto &it : workers) {
--- a/src/scheduling/placement.hpp
+++ b/src/scheduling/placement.hpp
@@ -27,6 +27,10 @@
     int failurePenalty = 0;
     /// False for a worker that gets no new work: unreachable, draining, cordoned, backing off, or without a ticket.
     bool usable = false;
+    /// Boot clock: when something was started on it last, or now if a start is under way.
+    Millis lastStartAt;
+    /// Runs a subtask that may crash it, and so gets nothing else for a while.
+    bool inProbation = false;
 };
 
 /// True if one more subtask of the step may be placed on the worker.
@@ -36,8 +40,14 @@
 /// there are none.
 std::optional<std::size_t> chooseWorker(const StepSpec &step, std::span<const Candidate> workers, std::string_view siblingRack);
 
+/// Returns the index of the worker on which a crash of the subtask would do the least harm and leave no doubt about its cause: nothing was
+/// started there after `quietSince`, and the smallest share of its CPU is in use. Returns nullopt if none fits.
+std::optional<std::size_t> chooseForSuspect(const StepSpec &step, std::span<const Candidate> workers, Millis quietSince);
+/// Returns the index of the worker that fits and on which the latest start is the longest ago, or nullopt if none fits.
+std::optional<std::size_t> chooseQuietest(const StepSpec &step, std::span<const Candidate> workers);
+
 /// Returns one worker for each of `count` subtasks that must start together, on a single rack if the step requests it and a rack
-/// has enough room. Returns nullopt if they don't all fit.
-std::optional<std::vector<std::size_t>> chooseGang(const StepSpec &step, std::span<const Candidate> workers, int count);
+/// has enough room. `apart` prefers a worker of its own for each. Returns nullopt if they don't all fit.
+std::optional<std::vector<std::size_t>> chooseGang(const StepSpec &step, std::span<const Candidate> workers, int count, bool apart = false);
 
 } // namespace hibiscusbridge::jobs
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -37,11 +37,6 @@
     return {run.job->spec.id, run.occurrence, run.step, run.index};
 }
 
-static std::string textOf(const SubtaskId &id)
-{
-    return id.job + "." + std::to_string(id.occurrence) + "." + std::to_string(id.step) + "." + std::to_string(id.index);
-}
-
 Subtask &Pool::subtaskOf(const Run &run) const
 {
     return run.job
@@ -73,6 +68,7 @@
         job.phase = record->phase;
         job.endedAt = record->endedAt;
         job.cancelled = record->phase == JobPhase::Cancelled;
+        job.failureReason = record->failureReason;
     }
     const auto steps = spec.steps.size();
     for (int k = 0; k < occurrenceCount(spec); ++k) {
@@ -89,6 +85,12 @@
                     subtask.failedRuns = known.failedRuns;
                     subtask.lastRun = known.lastRun;
                     subtask.checkpoint = known.checkpoint;
+                    subtask.crashes = known.crashes;
+                    for (const auto &it : subtask.crashes) {
+                        if (!it.confirmed) {
+                            m_unconfirmedCrashes[it.workerId].push_back({spec.id, k, static_cast<int>(s), static_cast<int>(i)});
+                        }
+                    }
                     job.begun = job.begun || known.done || !known.failedRuns.empty() || !known.checkpoint.empty();
                     for (const auto &it : known.runs) {
                         auto &worker = m_workers[it.workerId];
@@ -145,7 +147,7 @@
         logEvent(LogLevel::Info,
                  "run_over",
                  {{"job", job.spec.id},
-                  {"subtask", textOf(idOf(run))},
+                  {"subtask", toString(idOf(run))},
                   {"run", run.number},
                   {"worker", worker.entry.id},
                   {"reason", reason},
@@ -250,11 +252,13 @@
 void Pool::endWorkers(const std::set<std::string> &ids, Millis now)
 {
     for (const auto &id : ids) {
+        settleCrashes(id, std::nullopt);
         const auto found = m_workers.find(id);
         if (found == m_workers.end()) {
             continue;
         }
         auto &worker = *found->second;
+        onWorkerLost(worker, worker.runs, worker.answeredAt, true, now);
         worker.registered = false;
         worker.synced = false;
         for (Run *const it : std::vector<Run *>(worker.runs)) {
@@ -333,8 +337,14 @@
     }
 }
 
-void Pool::onRestarted(Worker &worker, const RenewResult &result, Millis now)
+void Pool::onRestarted(Worker &worker, const RenewResult &result, Millis lastResponse, Millis now)
 {
+    std::vector<Run *> lost;
+    std::copy_if(worker.runs.begin(), worker.runs.end(), std::back_inserter(lost), [&](const Run *it) {
+        return it->incarnationStart != result.incarnationStart;
+    });
+    settleCrashes(worker.entry.id, result.incarnationStart);
+    onWorkerLost(worker, lost, lastResponse, true, now);
     logEvent(LogLevel::Info,
              "worker_reborn",
              {{"pool", m_name},
@@ -376,6 +386,7 @@
     }
     if (result.outcome != OrderOutcome::Accepted) {
         if (worker.misses++ == 0) {
+            worker.unreachableSince = now;
             logEvent(LogLevel::Warn,
                      "worker_unheard",
                      {{"pool", m_name},
@@ -390,13 +401,15 @@
     if (worker.misses > 0) {
         logEvent(LogLevel::Info, "worker_reachable", {{"pool", m_name}, {"worker", workerId}, {"misses", worker.misses}});
     }
+    const auto lastResponse = worker.answeredAt;
     recordResponse(worker, result.workerClock, now);
     worker.listedAt = now;
     const auto incarnationStart = result.incarnationStart != 0 ? result.incarnationStart : worker.entry.incarnationStart;
     if (worker.incarnationStart != 0 && incarnationStart != worker.incarnationStart) {
-        onRestarted(worker, result, now);
+        onRestarted(worker, result, lastResponse, now);
     }
     worker.incarnationStart = incarnationStart;
+    settleCrashes(workerId, incarnationStart);
     for (const auto &it : result.ended) {
         if (it.number > worker.lastProcessedEnd) {
             onEnd(worker, it, now, wall);
@@ -413,7 +426,7 @@
                 return unknown.workerId == workerId && unknown.run == it.run && unknown.subtask == it.subtask;
             });
             if (!known) {
-                logEvent(LogLevel::Warn, "unknown_run", {{"worker", workerId}, {"subtask", textOf(it.subtask)}, {"run", it.run}});
+                logEvent(LogLevel::Warn, "unknown_run", {{"worker", workerId}, {"subtask", toString(it.subtask)}, {"run", it.run}});
                 m_unknownRuns.push_back({workerId, it.subtask, it.run, {}});
             }
             worker.backoffUntil = now + m_times.refusalBackoff;
@@ -429,6 +442,10 @@
         run->progressPercent = it.progressPercent;
         run->metric = it.metric;
         auto &subtask = subtaskOf(*run);
+        if (!subtask.crashes.empty() && now - run->confirmedAt >= clearingTime) {
+            subtask.crashes.clear();
+            markChanged(*run->job);
+        }
         if (stepOf(*run).longRunning && run->progressPercent >= 100 && !run->stopRequested) {
             subtask.availableSince = subtask.unavailableSince.count > 0 ? now : subtask.availableSince;
             subtask.unavailableSince = {};
@@ -440,6 +457,16 @@
     }
     const bool firstList = !worker.synced;
     worker.synced = true;
+    if (firstList) {
+        // The worker restarted before this owner heard from it.
+        std::vector<Run *> lost;
+        std::copy_if(worker.runs.begin(), worker.runs.end(), std::back_inserter(lost), [&](const Run *it) {
+            return it->phase == RunPhase::Inherited && it->incarnationStart != 0 && it->incarnationStart != incarnationStart;
+        });
+        if (!lost.empty()) {
+            onWorkerLost(worker, lost, lastResponse, true, now);
+        }
+    }
     for (Run *const it : std::vector<Run *>(worker.runs)) {
         if (listed.contains(it)) {
             continue;
@@ -496,13 +523,13 @@
     const auto &id = end.subtask;
     const auto found = m_jobs.find(id.job);
     if (found == m_jobs.end()) {
-        logEvent(LogLevel::Warn, "end_of_unknown_job", {{"worker", worker.entry.id}, {"subtask", textOf(id)}, {"run", end.run}});
+        logEvent(LogLevel::Warn, "end_of_unknown_job", {{"worker", worker.entry.id}, {"subtask", toString(id)}, {"run", end.run}});
         return;
     }
     auto &job = *found->second;
     if (id.occurrence >= occurrenceCount(job.spec) || id.step >= static_cast<int>(job.spec.steps.size())
         || id.index >= job.spec.steps[static_cast<std::size_t>(id.step)].count) {
-        logEvent(LogLevel::Warn, "end_of_unknown_subtask", {{"worker", worker.entry.id}, {"subtask", textOf(id)}, {"run", end.run}});
+        logEvent(LogLevel::Warn, "end_of_unknown_subtask", {{"worker", worker.entry.id}, {"subtask", toString(id)}, {"run", end.run}});
         return;
     }
     const auto &step = job.spec.steps[static_cast<std::size_t>(id.step)];
@@ -544,6 +571,7 @@
         }
     }
     if (failures >= static_cast<std::size_t>(job.spec.policy.maxAttempts)) {
+        job.failureReason = "subtask " + toString(id) + " failed " + std::to_string(failures) + " times";
         finishJob(job, JobPhase::Failed, now, wall, "attempts-used");
     }
 }
@@ -562,7 +590,7 @@
     }
     auto &worker = *found->second;
     if (result.outcome == OrderOutcome::Unknown) {
-        ++worker.misses;
+        worker.unreachableSince = worker.misses++ == 0 ? now : worker.unreachableSince;
         worker.epoch += order.fence == fenceAt(order.worker.id) ? 1 : 0;
     } else if (result.outcome != OrderOutcome::NotSent) {
         recordResponse(worker, result.workerClock, now);
@@ -584,7 +612,7 @@
     logEvent(LogLevel::Info,
              "start_not_confirmed",
              {{"job", order.subtask.job},
-              {"subtask", textOf(order.subtask)},
+              {"subtask", toString(order.subtask)},
               {"run", order.run},
               {"worker", order.worker.id},
               {"outcome", nameOf(result.outcome)},
@@ -646,13 +674,6 @@
     }
 }
 
-void Pool::cordonVms(const std::set<std::string> &vms, Millis until)
-{
-    for (auto &[id, worker] : m_workers) {
-        worker->cordonedUntil = vms.contains(worker->entry.vm) ? until : Millis{};
-    }
-}
-
 void Pool::onAdvice(const AdviceRequest &request, const AdviceResult &result, Millis now)
 {
     const auto found = m_jobs.find(request.step.job);
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -8,6 +8,7 @@
 #include "jobs/job.hpp"
 #include "ports/workers.hpp"
 #include "scheduling/changedjobs.hpp"
+#include "scheduling/crashes.hpp"
 #include "scheduling/order.hpp"
 #include "scheduling/placement.hpp"
 #include "scheduling/unackedends.hpp"
@@ -21,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -96,6 +98,8 @@
     int lastRun = 0;
     std::string checkpoint;
     std::vector<std::unique_ptr<Run>> runs;
+    /// Crashed workers that had a run of the subtask, at most one entry for each incarnation.
+    std::vector<CrashRecord> crashes;
     /// Start of the current unavailability of a long-running subtask; 0 while it is available.
     Millis unavailableSince;
     /// When it was first listed at 100 % after being unavailable.
@@ -111,6 +115,7 @@
     /// Time of submission, boot clock.
     Millis submittedAt;
     bool cancelled = false;
+    std::string failureReason;
     /// A worker has confirmed a start of one of its subtasks. `phase` is `Running` as soon as a subtask is placed, and the start
     /// may still fail.
     bool begun = false;
@@ -147,12 +152,16 @@
     std::int64_t incarnationStart = 0; ///< incarnation that responded last, Unix milliseconds
     /// Consecutive renewals and starts without a response.
     int misses = 0;
+    /// Local boot clock: the first of the latest consecutive misses.
+    Millis unreachableSince;
     /// Part of the fencing token for this worker. Incremented to fence off this owner's earlier orders without a response.
     std::uint64_t epoch = 0;
     /// Consecutive failed runs.
     int failuresInARow = 0;
     /// Cordoned by the fleet owner until this time; each request extends it.
     Millis cordonedUntil;
+    /// Until then a restart is taken for one that the fleet owner ordered.
+    Millis plannedRestartUntil;
     std::vector<Run *> runs;
     Resources used;
 };
@@ -277,10 +286,22 @@
     void finishSubtask(Job &job, int occurrence, int step, int index, Millis now, Millis wall);
     void finishJob(Job &job, JobPhase phase, Millis now, Millis wall, const char *reason);
     void stopRuns(Job &job, Millis now);
-    void onRestarted(Worker &worker, const RenewResult &result, Millis now);
+    void onRestarted(Worker &worker, const RenewResult &result, Millis lastResponse, Millis now);
     void dropExpiredRuns(Millis now);
     void evictLongRunning(Millis now);
     void adjustThrottling();
+    /// Whether a suspect's run is so recent that nothing else may be started on its worker.
+    bool isInProbation(const Run &run, Millis now) const;
+    WorkerLoss lossOf(const Worker &worker, Millis lastResponse) const;
+    /// Records the crash with the subtasks whose runs were lost. `lastResponse` is the time of the last response of the lost incarnation;
+    /// `confirmed` is false while the worker may only be unreachable.
+    void onWorkerLost(const Worker &worker, std::span<Run *const> runs, Millis lastResponse, bool confirmed, Millis now);
+    void recordCrash(const Run &run, Suspicion suspicion, bool confirmed, Millis lastResponse);
+    void settleCrashes(const std::string &workerId, std::optional<std::int64_t> incarnation);
+    void giveUpIfCause(const SubtaskId &id, const Subtask &subtask);
+    void giveUpCrashingSubtasks(Millis now, Millis wall);
+    /// Returns nullptr if the job is unknown or final.
+    Subtask *findSubtask(const SubtaskId &id) const;
     bool isUsable(const Worker &worker, Millis now) const;
     Candidate candidateOf(const Worker &worker, Millis now) const;
     static int siblingsOn(const Worker &worker, const Job &job, int occurrence, int step);
@@ -290,6 +311,7 @@
     std::vector<Ready> readySteps(Millis now, Millis wall);
     std::optional<std::size_t> chooseOrReserve(const Ready &ready, Round &round, Millis now) const;
     void placeStep(const Ready &ready, Round &round, Millis now);
+    std::optional<std::size_t> chooseForSuspect(const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const;
     StartOrder makeStart(Run &run, Millis now);
     bool needsAdvice(Job &job, int occurrence, int step, Millis now);
 
@@ -312,6 +334,12 @@
         Millis lastOrderAt;
     };
     std::vector<UnknownRun> m_unknownRuns;
+    /// Workers whose loss is recorded as an unconfirmed crash, with the subtasks that have such a record.
+    std::map<std::string, std::vector<SubtaskId>> m_unconfirmedCrashes;
+    /// Recent losses of workers, by worker id.
+    std::vector<std::pair<std::string, WorkerLoss>> m_recentLosses;
+    /// Subtasks whose job fails in the next scheduling pass.
+    std::vector<SubtaskId> m_givenUp;
     std::vector<AdviceRequest> m_adviceRequests;
     /// Estimated work of a recently submitted job, in core-milliseconds.
     struct Arrival {
--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -2,17 +2,14 @@
 #include "fakes/fakeworkers.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace hibiscusbridge::jobs
 {
 
 constexpr Millis endPollInterval{5};
 constexpr std::int64_t fullProgress = 100;
-
-static std::string textOf(const SubtaskId &id)
-{
-    return id.job + "." + std::to_string(id.occurrence) + "." + std::to_string(id.step) + "." + std::to_string(id.index);
-}
+constexpr int maxDeadlyStarts = 5;
 
 FakeWorkers::FakeWorkers(FakeLoop &loop)
     : m_loop(loop)
@@ -55,6 +52,28 @@
     worker.availableAt = m_loop.now() + restartTime;
 }
 
+void FakeWorkers::crash(const std::string &id)
+{
+    for (const auto &[subtask, running] : m_workers.at(id).running) {
+        lostRuns += deadly.contains(subtask) ? 0 : 1;
+    }
+    ++crashes;
+    m_crashed.emplace(id, m_workers.at(id).registration.incarnationStart);
+    restart(id);
+    auto &worker = m_workers.at(id);
+    if (crashKeepsId) {
+        worker.availableAt = m_loop.now() + crashDownTime;
+        m_loop.timers().after(crashDownTime, [this, id] { replaced(m_workers.at(id).registration); });
+        return;
+    }
+    worker.availableAt = Millis{std::numeric_limits<std::int64_t>::max()};
+    m_loop.timers().after(crashDownTime, [this, id, old = worker.registration, n = crashes] {
+        auto registration = add(id + "-" + std::to_string(n), old.service, old.capacity, old.labels);
+        registration.vm = m_workers.at(registration.id).registration.vm = old.vm;
+        replaced(registration);
+    });
+}
+
 void FakeWorkers::registerJob(const JobSpec &spec)
 {
     m_specs[spec.id] = spec;
@@ -138,7 +157,7 @@
 void FakeWorkers::checkStart(const FakeWorker &worker, const StartOrder &order, const Resources &need)
 {
     const auto addViolation = [&](const std::string &text) {
-        violations.push_back(textOf(order.subtask) + " run " + std::to_string(order.run) + " on " + worker.registration.id + " at "
+        violations.push_back(toString(order.subtask) + " run " + std::to_string(order.run) + " on " + worker.registration.id + " at "
                              + std::to_string(m_loop.now().count) + " with fencing token " + std::to_string(order.fence) + ": " + text);
     };
     if (m_done.contains(order.subtask)) {
@@ -197,6 +216,18 @@
     const StepSpec step = spec != m_specs.end() ? spec->second.steps[static_cast<std::size_t>(order.subtask.step)] : StepSpec{};
     checkStart(worker, order, reserved(step));
     ++starts;
+    if (deadly.contains(order.subtask)) {
+        auto &count = m_deadlyStarts[order.subtask];
+        // Three starts have crashed three workers, and two more are allowed.
+        if (++count > maxDeadlyStarts) {
+            violations.push_back(toString(order.subtask) + ": start " + std::to_string(count) + " of a subtask that crashes its workers");
+        }
+        m_loop.timers().after(crashDelay, [this, id = worker.registration.id, start = worker.registration.incarnationStart] {
+            if (m_workers.at(id).registration.incarnationStart == start) {
+                crash(id);
+            }
+        });
+    }
     m_startedJobs.insert(order.subtask.job);
     Running running{.run = order.run, .need = reserved(step)};
     running.endsAt = step.longRunning ? Millis{} : m_loop.now() + step.estimate * durationPercent / 100;
@@ -260,6 +291,9 @@
         [this, id = worker.registration.id, incarnationStart = worker.registration.incarnationStart, order, until, answered, done] {
             if (m_workers.at(id).registration.incarnationStart == incarnationStart && !unresponsive.contains(id)) {
                 handleRenew(m_workers.at(id), order, until, answered, done);
+            } else if (m_crashed.contains({id, incarnationStart}) && !*answered) {
+                *answered = true; // The connection was reset.
+                done({});
             }
         });
 }
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -4,6 +4,7 @@
 #include "fakes/fakeloop.hpp"
 #include "ports/workers.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,6 +29,8 @@
     /// Restarts the worker under its id; it is reachable again after `restartTime`. Its runs and the highest fencing token that
     /// it has seen are lost.
     void restart(const std::string &id);
+    /// Ends the worker with its runs. After `crashDownTime` a worker registers on its VM, under the same id if `crashKeepsId`.
+    void crash(const std::string &id);
     /// Provides the resource requirements and step dependencies of a job, against which starts are checked.
     void registerJob(const JobSpec &spec);
 
@@ -46,12 +49,23 @@
     std::set<std::string> hanging;
     /// Workers on which runs fail.
     std::set<std::string> failing;
+    /// Subtasks that crash their worker `crashDelay` after each start.
+    std::set<SubtaskId> deadly;
+    Millis crashDelay{10};
+    Millis crashDownTime{3'000};
+    bool crashKeepsId = false;
+    /// Called with the registration of a worker that takes the place of a crashed one.
+    std::function<void(const WorkerRegistration &)> replaced = [](const WorkerRegistration &) {
+    };
     /// Actual duration of runs as a percentage of the estimate.
     int durationPercent = 100;
 
     /// Descriptions of the protocol violations that were seen.
     std::vector<std::string> violations;
     int starts = 0;
+    int crashes = 0;
+    /// Runs of other subtasks that were on a worker when it crashed.
+    int lostRuns = 0;
     bool isDone(const SubtaskId &subtask) const
     {
         return m_done.contains(subtask);
@@ -61,6 +75,10 @@
         return m_startedJobs.contains(job);
     }
     int runningOn(const std::string &id) const;
+    bool isUp(const std::string &id) const
+    {
+        return m_workers.at(id).availableAt <= m_loop.now();
+    }
     /// How long the oldest end that a worker has listed waits to be acknowledged; 0 if there is none.
     Millis oldestUnacknowledged() const;
     /// Number of runs of the job on all workers.
@@ -109,6 +127,8 @@
     std::set<SubtaskId> m_done;
     std::set<SubtaskId> m_possiblyDone;
     std::set<std::string> m_startedJobs;
+    std::map<SubtaskId, int> m_deadlyStarts;
+    std::set<std::pair<std::string, std::int64_t>> m_crashed; ///< worker and start of the incarnation
 };
 
 } // namespace hibiscusbridge::jobs
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -51,6 +51,9 @@
     m_configuration.queues.push_back({.name = "route", .host = "host", .pathPrefix = "/q/", .pool = poolName});
     m_configuration.queues.back().policy = {.priority = 0, .maxAttempts = 3, .stretch = 2, .latencyTarget = {500}};
     m_configuration.pools.push_back({.name = poolName});
+    workers.replaced = [this](const WorkerRegistration &worker) {
+        registerWorker(worker);
+    };
     for (int i = 0; i < workerCount; ++i) {
         registerWorker(workers.add("w" + std::to_string(i), poolName, {8'000, 16'000, 0}));
     }
