Recognise a crashed worker when its VM has a new one, although its row is gone

Cause: a crashed worker counted as ended only while its row stood beside the row of the VM's next worker. A row goes after three silent heartbeats; if the VM is slower than that, the runs waited for their lease to expire.

Change: the worker directory remembers the last removed worker of each VM.

Measured: "the runs of a crashed worker start again when its VM has a new worker, although its row is gone by then" failed before (one of 2 checks) and passes now.

--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -133,7 +133,7 @@
                  "",
                  {.replaced =
                       [this](const std::vector<Row> &rows) {
-                          m_workers.clear();
+                          m_workers.clear(); // Rows that were removed meanwhile are unknown.
                           for (const auto &it : rows) {
                               applyRow(it);
                           }
@@ -155,6 +155,9 @@
 void WorkerDirectory::applyRow(const Row &row)
 {
     if (row.removed) {
+        if (const auto it = m_workers.find(row.key.key); it != m_workers.end() && !it->second.vm.empty()) {
+            m_removed[it->second.vm] = {it->first, it->second.incarnationStart};
+        }
         m_workers.erase(row.key.key);
         return;
     }
@@ -184,6 +187,12 @@
         replaced.insert(known->incarnationStart < worker.incarnationStart ? known->id : id);
         known = known->incarnationStart < worker.incarnationStart ? &worker : known;
     }
+    for (const auto &[vm, removed] : m_removed) {
+        const auto it = newest.find(vm);
+        if (it != newest.end() && it->second->id != removed.id && it->second->incarnationStart > removed.incarnationStart) {
+            replaced.insert(removed.id);
+        }
+    }
     return replaced;
 }
 
--- a/src/shards/workerdirectory.hpp
+++ b/src/shards/workerdirectory.hpp
@@ -103,8 +103,15 @@
 private:
     void applyRow(const Row &row);
 
+    struct RemovedWorker {
+        std::string id;
+        std::int64_t incarnationStart = 0;
+    };
+
     Ports m_ports;
     std::map<std::string, WorkerRegistration> m_workers;
+    /// The worker of each VM whose row was removed last. A crashed worker's row may go before its VM has a new worker.
+    std::map<std::string, RemovedWorker> m_removed;
     std::uint64_t m_malformed = 0;
     bool m_loaded = false;
     TableFollower m_follower;
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -350,3 +350,20 @@
     CHECK(pool.jobs().at(spec.id)->occurrences[0][0][0].crashes.size() == 1);
     CHECK(pool.jobs().at(spec.id)->phase == JobPhase::Running);
 }
+
+TEST_CASE("the runs of a crashed worker start again when its VM has a new worker, although its row is gone by then")
+{
+    JobCluster cluster(1, 2);
+    cluster.workers.crashDownTime = {3'500};
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(2, 1'000, {600})}));
+    cluster.loop.advance({100});
+    const auto crashed = cluster.workers.runningOn("w0") > 0 ? std::string("w0") : std::string("w1");
+    REQUIRE(cluster.workers.runningOn(crashed) == 2);
+    cluster.workers.crash(crashed);
+    cluster.loop.advance({2'000});
+    cluster.unregisterWorker(crashed);
+    // The lease of the lost runs ends 5 s after their start.
+    cluster.loop.advance({2'800});
+    CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Completed);
+}
