Acknowledge the ends of many busy workers although the renewal budget is exhausted

Cause: when one round of renewals over an owner's workers takes longer than a cursor is valid, each renewal went without a cursor, and the immediate renewal with a cursor waited for a budget that the round always used up. At 0.25 of a core that are 240 busy workers, at 0.12 about 115.

Change: a renewal that delivers a cursor is sent at once and charged to the budget, which may become negative.

--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -364,8 +364,9 @@
         }
         renewalState.nextSendAt = {};
         if (const auto worker = m_pool->workers().find(id);
-            worker != m_pool->workers().end() && hasCommittedEnds(*worker->second) && m_renewalBudget >= 1 && m_ports.isOwner()) {
-            // The next run may come too late for the cursor, which is valid for a short time after a list.
+            worker != m_pool->workers().end() && hasCommittedEnds(*worker->second) && m_ports.isOwner()) {
+            // The next run may come too late for the cursor, which is valid for a short time after a list. The budget may become
+            // negative: with many workers, waiting for it would make every cursor outdated.
             m_renewalBudget -= 1;
             sendRenewal(*worker->second, renewalState, now);
         }
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -131,3 +131,19 @@
     }
     CHECK(cluster.accepted.size() == 300);
 }
+
+TEST_CASE("the ends on many busy workers are acknowledged although the renewal budget is exhausted")
+{
+    const auto n = GENERATE(220, 300, 400);
+    CAPTURE(n);
+    // An entry with 0.25 of a core sends 800 renewals a second.
+    JobCluster cluster(1, n);
+    cluster.loop.advance(startupTime);
+    Millis longest;
+    for (int i = 0; i < 160; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(n / 2, 4'000, {180 + 13 * (i % 7)})}));
+        cluster.loop.advance({50});
+        longest = std::max(longest, cluster.workers.oldestUnacknowledged());
+    }
+    CHECK(longest < ackTimeout);
+}
