Test acknowledgements of late owners beside restarts, and ignore those of another incarnation

A worker under the same id numbers its ends anew, so a restart within that time loses ends, and done subtasks run again. The platform's workers are back after seconds.

An accepted renewal no longer settles ends of an incarnation that has taken the worker's place meanwhile.

Conclusion: open whether Hibiscusbridge-Expect-Instance can tell two lives of one id apart; with it the assumption would go.

--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -283,9 +283,10 @@
     }
 }
 
-void Pool::onAcknowledged(const std::string &workerId, std::int64_t cursor)
+void Pool::onAcknowledged(const std::string &workerId, std::int64_t incarnationStart, std::int64_t cursor)
 {
-    if (const auto it = m_workers.find(workerId); it != m_workers.end()) {
+    if (const auto it = m_workers.find(workerId);
+        it != m_workers.end() && (incarnationStart == 0 || incarnationStart == it->second->incarnationStart)) {
         it->second->unackedEnds.onAcknowledged(cursor);
     }
 }
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -200,8 +200,8 @@
     /// Handles the response to a renewal that was sent at `sentAt` with the fencing token `renewalFence`.
     void onHold(const std::string &workerId, std::uint64_t renewalFence, const RenewResult &result, Millis sentAt, Millis now, Millis wall);
     void onHoldSent(const std::string &workerId, Millis now);
-    /// The worker has accepted a renewal with this acknowledgement cursor. Call before `onHold` for the same response.
-    void onAcknowledged(const std::string &workerId, std::int64_t cursor);
+    /// The worker's incarnation has accepted a renewal with this acknowledgement cursor. Call before `onHold` for the same response.
+    void onAcknowledged(const std::string &workerId, std::int64_t incarnationStart, std::int64_t cursor);
     void onStart(const StartOrder &order, const OrderResult &result, Millis now);
     void onStop(const StopOrder &order, const OrderResult &result, Millis now);
     void onPace(const ThrottleOrder &order, const OrderResult &result);
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -24,7 +24,8 @@
 /// Timeout of the probe that goes beside the others to an unreachable worker with runs: a slow worker can answer it before its lease
 /// expires.
 constexpr Millis slowProbeTimeout{2'000};
-/// A worker cannot have restarted undetected within this time after its last list.
+/// A worker cannot have restarted undetected within this time after its last list was processed. A late owner may process a list up to
+/// its lag later, so a worker must not be back with new ends within a second.
 constexpr Millis incarnationValidity{300};
 /// Maximum delay of the next renewal while the ends of the last list are being persisted. After `incarnationValidity` the renewal could
 /// not acknowledge earlier ends either.
@@ -351,7 +352,7 @@
         return m_ports.superseded("worker " + id + " rejected a lease renewal: it has seen a higher fencing token");
     }
     if (result.outcome == OrderOutcome::Accepted) {
-        m_pool->onAcknowledged(id, order.ackCursor);
+        m_pool->onAcknowledged(id, result.incarnationStart, order.ackCursor);
     }
     if (order.wait.count > 0 || !isOutdatedMiss(id, result, sentAt)) {
         m_pool->onHold(id, order.fence, result, sentAt, now, m_ports.clock.wall());
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -147,3 +147,28 @@
     }
     CHECK(longest < ackTimeout);
 }
+
+TEST_CASE("a late owner acknowledges no end of a worker that has restarted within a second or more")
+{
+    const auto lag = GENERATE(Millis{100}, Millis{320}, Millis{450}, Millis{700}, Millis{950}, Millis{1'300});
+    const auto restartTime = GENERATE(Millis{1'000}, Millis{1'300});
+    CAPTURE(lag.count, restartTime.count);
+    int broken = 0;
+    for (int seed = 0; seed < 40; ++seed) {
+        JobCluster cluster(1, 3);
+        cluster.loop.advance(startupTime);
+        cluster.workers.restartTime = restartTime;
+        cluster.delayEntry("e0", lag);
+        for (int i = 0; i < 160; ++i) {
+            cluster.submit("e0", makeJob(jobId(i), {makeStep(3, 1'000, {80 + 13 * (i % 7)})}));
+            if (i % 40 == 20) {
+                cluster.loop.advance({seed});
+                cluster.workers.restart("w" + std::to_string(i / 40 % 3));
+            }
+            cluster.loop.advance({50});
+        }
+        cluster.loop.advance({5'000});
+        broken += cluster.workers.violations.empty() ? 0 : 1;
+    }
+    CHECK(broken == 0);
+}
