--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -172,3 +172,55 @@
     }
     CHECK(broken == 0);
 }
+
+TEST_CASE("ends are acknowledged at 40 jobs a second with a late owner and a slow store")
+{
+    JobCluster cluster(1, 8);
+    cluster.loop.advance(startupTime);
+    cluster.store.latency = {250};
+    cluster.delayEntry("e0", {320});
+    Millis longest;
+    for (int i = 0; i < 600; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(1, 500, {150}), makeStep(1, 500, {150}, {0})}));
+        cluster.loop.advance({25});
+        longest = std::max(longest, cluster.workers.oldestUnacknowledged());
+    }
+    CHECK(longest < ackTimeout);
+    CHECK(cluster.workers.starts > 1'000);
+}
+
+TEST_CASE("a dead owner is replaced although some store calls fail")
+{
+    JobCluster cluster(2, 1);
+    cluster.loop.advance(startupTime);
+    cluster.killEntry(cluster.owner());
+    for (int i = 0; i < 30 && cluster.owner().empty(); ++i) {
+        cluster.store.refusing = true;
+        cluster.loop.advance({520});
+        cluster.store.refusing = false;
+        cluster.loop.advance({1'200});
+    }
+    CHECK_FALSE(cluster.owner().empty());
+}
+
+TEST_CASE("ended jobs do not run again after a failed expiry and lost history")
+{
+    JobCluster cluster(1, 1);
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 5; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(1, 200, {300})}));
+    }
+    cluster.loop.advance({5'000});
+    for (int i = 0; i < 6'000; ++i) {
+        cluster.store.refusing = i > 1'500 && i % 10 < 5;
+        cluster.loop.advance({100});
+    }
+    cluster.store.refusing = false;
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 3; ++i) {
+        cluster.store.discardHistory();
+        cluster.submit("e0", makeJob(jobId(77 + i), {makeStep(1, 200, {300})}));
+        cluster.loop.advance({10'000});
+    }
+    CHECK(cluster.workers.violations.empty());
+}
