Test that a worker's changing capacity reaches the decisions of its pool

A worker's capacity may shrink and grow while it runs subtasks. No test changed it so far. The tests cover a worker that shrinks under its running work and grows again, runs that are being stopped, a start without a response, a move of a long-running subtask, a gang, and workers that guard their capacity and that don't.

FakeWorkers can change a worker's capacity and can refuse starts that exceed it. The check of starts allows a smaller capacity 3 s to become known, as the users do.

--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -74,6 +74,17 @@
     });
 }
 
+WorkerRegistration FakeWorkers::setCapacity(const std::string &id, Resources capacity)
+{
+    auto &worker = m_workers.at(id);
+    if (!fits(worker.registration.capacity, capacity)) {
+        worker.largerCapacity = worker.registration.capacity;
+        worker.shrinksAt = m_loop.now() + shrinkGrace;
+    }
+    worker.registration.capacity = capacity;
+    return worker.registration;
+}
+
 void FakeWorkers::registerJob(const JobSpec &spec)
 {
     m_specs[spec.id] = spec;
@@ -154,6 +165,15 @@
     }
 }
 
+Resources FakeWorkers::loadWith(const FakeWorker &worker, const Resources &need)
+{
+    Resources used = need;
+    for (const auto &[subtask, running] : worker.running) {
+        used = used + running.need;
+    }
+    return used;
+}
+
 void FakeWorkers::checkStart(const FakeWorker &worker, const StartOrder &order, const Resources &need)
 {
     const auto addViolation = [&](const std::string &text) {
@@ -169,11 +189,9 @@
             addViolation("already running on " + id);
         }
     }
-    Resources used = need;
-    for (const auto &[subtask, running] : worker.running) {
-        used = used + running.need;
-    }
-    if (!fits(used, worker.registration.capacity)) {
+    const auto used = loadWith(worker, need);
+    const bool shrunk = m_loop.now() >= worker.shrinksAt;
+    if (!fits(used, worker.registration.capacity) && (shrunk || !fits(used, worker.largerCapacity))) {
         addViolation("exceeds the capacity of the worker");
     }
     const auto spec = m_specs.find(order.subtask.job);
@@ -214,6 +232,11 @@
     worker.deadline = std::max(worker.deadline, order.deadline);
     const auto spec = m_specs.find(order.subtask.job);
     const StepSpec step = spec != m_specs.end() ? spec->second.steps[static_cast<std::size_t>(order.subtask.step)] : StepSpec{};
+    if (guarding.contains(order.worker.id) && !fits(loadWith(worker, reserved(step)), worker.registration.capacity)) {
+        ++refusals;
+        result.outcome = OrderOutcome::NoCapacity;
+        return result;
+    }
     checkStart(worker, order, reserved(step));
     ++starts;
     if (deadly.contains(order.subtask)) {
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -31,6 +31,9 @@
     void restart(const std::string &id);
     /// Ends the worker with its runs. After `crashDownTime` a worker registers on its VM, under the same id if `crashKeepsId`.
     void crash(const std::string &id);
+    /// Changes the capacity and returns the registration to publish. Starts are checked against a smaller capacity after
+    /// `shrinkGrace`, and against a larger one at once.
+    WorkerRegistration setCapacity(const std::string &id, Resources capacity);
     /// Provides the resource requirements and step dependencies of a job, against which starts are checked.
     void registerJob(const JobSpec &spec);
 
@@ -57,6 +60,9 @@
     /// Called with the registration of a worker that takes the place of a crashed one.
     std::function<void(const WorkerRegistration &)> replaced = [](const WorkerRegistration &) {
     };
+    /// Workers that refuse starts that exceed their capacity.
+    std::set<std::string> guarding;
+    Millis shrinkGrace{3'000};
     /// Actual duration of runs as a percentage of the estimate.
     int durationPercent = 100;
 
@@ -66,6 +72,8 @@
     int crashes = 0;
     /// Runs of other subtasks that were on a worker when it crashed.
     int lostRuns = 0;
+    /// Starts that a guarding worker refused.
+    int refusals = 0;
     bool isDone(const SubtaskId &subtask) const
     {
         return m_done.contains(subtask);
@@ -102,6 +110,8 @@
         std::int64_t reportedEnds = 0;
         std::map<std::int64_t, Millis> listedAt; ///< first list of each end that is not acknowledged
         Millis availableAt; ///< loop time
+        Resources largerCapacity; ///< valid until `shrinksAt`
+        Millis shrinksAt; ///< loop time
     };
 
     Millis clockOf(const FakeWorker &worker) const
@@ -117,6 +127,8 @@
                      Millis until,
                      const std::shared_ptr<bool> &answered,
                      const std::function<void(RenewResult)> &done);
+    /// Resources of the runs on the worker and of one more subtask.
+    static Resources loadWith(const FakeWorker &worker, const Resources &need);
     void checkStart(const FakeWorker &worker, const StartOrder &order, const Resources &need);
     Millis delayOf(const std::string &worker) const;
     bool unreachable(const std::string &client, const std::string &worker) const;
--- /dev/null
+++ b/tests/unit/capacity_test.cpp
@@ -0,0 +1,251 @@
+// Workers whose capacity shrinks and grows while they run subtasks.
+#include "scheduling/pool.hpp"
+#include "unit/jobcluster.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hibiscusbridge;
+using namespace hibiscusbridge::jobs;
+
+namespace
+{
+
+constexpr Millis startupTime{3'000};
+
+/// A pool with workers whose lists the test controls. Each of its workers is on a VM of the same name.
+struct CapacityPool {
+    Pool pool{"pool", 7, {}};
+    Millis now{100'000};
+    std::vector<WorkerRegistration> entries;
+    std::map<std::string, RenewResult> lists;
+
+    explicit CapacityPool(const std::map<std::string, std::int64_t> &cpus)
+    {
+        for (const auto &[id, cpu] : cpus) {
+            entries.push_back({.id = id, .service = "pool", .address = id, .vm = id, .incarnationStart = 5, .capacity = {cpu, 8'000, 0}});
+            lists[id].outcome = OrderOutcome::Accepted;
+            lists[id].incarnationStart = 5;
+        }
+        pool.setWorkers(entries, now);
+        list();
+    }
+
+    void setCpu(const std::string &id, std::int64_t cpu)
+    {
+        std::find_if(entries.begin(), entries.end(), [&](const auto &it) { return it.id == id; })->capacity.cpuMilli = cpu;
+        pool.setWorkers(entries, now);
+    }
+
+    /// Delivers the lists of all workers.
+    void list()
+    {
+        for (auto &[id, it] : lists) {
+            it.workerClock = {now.count - 99'000};
+            pool.onHold(id, pool.fenceAt(id), it, now, now, now);
+        }
+    }
+
+    void add(int id, int count, std::int64_t cpu, bool gang = false)
+    {
+        auto spec = makeJob(jobId(id), {makeStep(count, cpu, {600})});
+        spec.steps[0].gang = gang;
+        pool.addJob(spec, std::nullopt, now, now);
+    }
+
+    /// Places and commits what fits, and returns the starts to send.
+    std::vector<StartOrder> commit()
+    {
+        pool.schedule(now, now, true);
+        pool.takeRecords(100);
+        return pool.onRecordsCommitted(now).starts;
+    }
+
+    /// Places, commits and starts everything that fits. Returns the number of starts.
+    std::size_t start()
+    {
+        const auto starts = commit();
+        for (const auto &it : starts) {
+            accept(it);
+        }
+        return starts.size();
+    }
+
+    void answer(const StartOrder &order, OrderOutcome outcome)
+    {
+        pool.onStart(order, {.outcome = outcome, .workerClock = {now.count - 99'000}}, now);
+    }
+
+    void accept(const StartOrder &order)
+    {
+        answer(order, OrderOutcome::Accepted);
+        lists[order.worker.id].running.push_back({.subtask = order.subtask, .run = order.run, .progressPercent = 100});
+    }
+
+    /// Ends the first run on the worker's list and delivers the lists.
+    void end(const std::string &worker, RunEnd how = RunEnd::Done)
+    {
+        auto &it = lists[worker];
+        const auto first = it.running.front();
+        it.running.erase(it.running.begin());
+        const auto number = it.ended.empty() ? 1 : it.ended.back().number + 1;
+        it.ended.push_back({.number = number, .subtask = first.subtask, .run = first.run, .end = how});
+        list();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a worker whose capacity shrank below its running work gets no more, keeps what runs and is used again after it grew")
+{
+    CapacityPool sim({{"w0", 8'000}});
+    sim.add(1, 20, 2'000);
+    REQUIRE(sim.start() == 4);
+    sim.setCpu("w0", 4'000);
+    CHECK(sim.pool.report(sim.now).vms.at("w0").capacityCpu == 4'000);
+    CHECK(sim.pool.load(sim.now).capacityCpu == 4'000);
+    sim.list();
+    CHECK(sim.start() == 0);
+    CHECK(sim.pool.dueOrders(sim.now).stops.empty());
+    sim.end("w0");
+    CHECK(sim.start() == 0);
+    sim.end("w0");
+    CHECK(sim.start() == 0);
+    sim.end("w0");
+    CHECK(sim.start() == 1);
+    sim.setCpu("w0", 8'000);
+    CHECK(sim.pool.load(sim.now).capacityCpu == 8'000);
+    CHECK(sim.start() == 2);
+}
+
+TEST_CASE("runs that are being stopped count against a capacity that shrank until their ends are listed")
+{
+    CapacityPool sim({{"w0", 8'000}});
+    sim.add(1, 4, 2'000);
+    REQUIRE(sim.start() == 4);
+    sim.pool.cancelJob(jobId(1), sim.now, sim.now);
+    for (const auto &it : sim.pool.dueOrders(sim.now).stops) {
+        sim.pool.onStop(it, {.outcome = OrderOutcome::Accepted, .workerClock = {sim.now.count - 99'000}}, sim.now);
+    }
+    sim.setCpu("w0", 4'000);
+    sim.add(2, 4, 2'000);
+    for (int i = 0; i < 3; ++i) {
+        sim.list();
+        CHECK(sim.start() == 0);
+        sim.end("w0", RunEnd::Stopped);
+    }
+    CHECK(sim.start() == 1);
+    sim.end("w0", RunEnd::Stopped);
+    CHECK(sim.start() == 1);
+}
+
+TEST_CASE("a start without a response holds its place on a worker that shrank until a list settles it")
+{
+    const bool executed = GENERATE(false, true);
+    CAPTURE(executed);
+    CapacityPool sim({{"w0", 4'000}});
+    sim.add(1, 2, 2'000);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    sim.answer(starts[0], OrderOutcome::Unknown);
+    sim.accept(starts[1]);
+    sim.setCpu("w0", 2'000);
+    sim.add(2, 1, 2'000);
+    // The worker has listed the end of the other run without having seen a higher token than that of the start, which may still be
+    // executed.
+    auto &list = sim.lists["w0"];
+    list.running.clear();
+    list.ended = {{.number = 1, .subtask = starts[1].subtask, .run = 1, .end = RunEnd::Done}};
+    sim.pool.onHold("w0", starts[0].fence, list, sim.now, sim.now, sim.now);
+    REQUIRE(sim.pool.isReachable(*sim.pool.workers().at("w0")));
+    CHECK(sim.start() == 0);
+    if (executed) {
+        list.running.push_back({.subtask = starts[0].subtask, .run = 1});
+    }
+    sim.list();
+    CHECK(sim.start() == (executed ? 0 : 1));
+    CHECK(sim.pool.workers().at("w0")->used.cpuMilli == 2'000);
+}
+
+TEST_CASE("a long-running subtask is moved only to a worker whose present capacity holds it")
+{
+    CapacityPool sim({{"w0", 2'000}, {"w1", 2'000}});
+    auto spec = makeJob(jobId(1), {makeStep(1, 2'000, {600})});
+    spec.steps[0].longRunning = true;
+    spec.steps[0].maxUnavailable = 1;
+    sim.pool.addJob(spec, std::nullopt, sim.now, sim.now);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 1);
+    sim.accept(starts[0]);
+    const auto from = starts[0].worker.id;
+    const std::string to = from == "w0" ? "w1" : "w0";
+    sim.list();
+    sim.now += Millis{1'000};
+    sim.list();
+    sim.setCpu(to, 1'000);
+    sim.pool.cordonVms({from}, sim.now + Millis{5'000});
+    sim.pool.schedule(sim.now, sim.now, true);
+    CHECK(sim.pool.dueOrders(sim.now).stops.empty());
+    sim.setCpu(to, 2'000);
+    sim.pool.schedule(sim.now, sim.now, true);
+    CHECK(sim.pool.dueOrders(sim.now).stops.size() == 1);
+}
+
+TEST_CASE("a gang waits until the present capacities hold all its members")
+{
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 2'000);
+    sim.add(1, 4, 2'000, true);
+    CHECK(sim.start() == 0);
+    sim.setCpu("w1", 4'000);
+    CHECK(sim.start() == 4);
+}
+
+TEST_CASE("a job completes although a worker that guards its capacity refuses starts")
+{
+    // The worker's row is late, so the pool learns of the shrunk capacity from the refusals.
+    JobCluster cluster(1, 2);
+    cluster.workers.guarding = {"w0", "w1"};
+    cluster.loop.advance(startupTime);
+    cluster.workers.setCapacity("w0", {1'000, 16'000, 0});
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(12, 2'000, {400})}));
+    cluster.loop.advance({6'000});
+    CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Completed);
+    CHECK(cluster.workers.refusals > 0);
+    CHECK(cluster.workers.refusals <= 8);
+    CHECK(cluster.workers.violations.empty());
+}
+
+TEST_CASE("no start exceeds the capacity of workers that keep shrinking and growing")
+{
+    const bool guarding = GENERATE(false, true);
+    const auto seed = GENERATE(1U, 2U, 3U, 4U);
+    CAPTURE(guarding, seed);
+    std::mt19937 random(seed);
+    JobCluster cluster(2, 4);
+    cluster.workers.shrinkGrace = {600};
+    if (guarding) {
+        cluster.workers.guarding = {"w0", "w1", "w2", "w3"};
+    }
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 60; ++i) {
+        auto spec =
+            makeJob(jobId(i), {makeStep(1 + static_cast<int>(random() % 6), 1'000 + static_cast<std::int64_t>(random() % 3) * 500, {300})});
+        spec.steps[0].gang = random() % 3 == 0;
+        cluster.submit("e0", spec);
+        const auto id = "w" + std::to_string(random() % 4);
+        const std::int64_t cpu = 1'000 * static_cast<std::int64_t>(random() % 9);
+        cluster.registerWorker(cluster.workers.setCapacity(id, {cpu, 16'000, 0}));
+        cluster.loop.advance({static_cast<std::int64_t>(random() % 400)});
+    }
+    for (int i = 0; i < 4; ++i) {
+        cluster.registerWorker(cluster.workers.setCapacity("w" + std::to_string(i), {8'000, 16'000, 0}));
+    }
+    cluster.loop.advance({20'000});
+    CHECK(cluster.accepted.size() == 60);
+    CHECK(cluster.allFinal());
+    for (const auto &it : cluster.workers.violations) {
+        FAIL_CHECK(it);
+    }
+}
