Check the present capacity of a worker before each start is sent

Cause: room on a worker was checked only when a subtask was placed. Starts that were sent later, after a slow commit or again because they could not be sent, went to the worker even if its capacity had shrunk meanwhile, and brought a worker that doesn't guard its capacity over it.

Change: a start is sent only if the worker's present capacity holds it and all runs that may be on the worker, which includes those that are being stopped and starts without a response. Otherwise the run, which was never sent, is dropped and its subtask placed again. A gang starts only if all members fit; members that were sent already are stopped.

Measured: before, the four new tests failed. Both subtasks were started after the commit and both starts repeated although one fitted, and a gang was started beyond the capacity. They pass now.

Conclusion: between placement and start, a shrunk capacity counts from the time at which the pool learns of it.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -566,6 +566,71 @@
     return order;
 }
 
+/// True if no start of the run was sent, so that it can't be on its worker.
+static bool isUnsent(const Run &run)
+{
+    return run.phase == RunPhase::Placed || run.phase == RunPhase::Committing || (run.phase == RunPhase::Starting && run.unsent);
+}
+
+static bool isSameStep(const Run &a, const Run &b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+bool Pool::fitsOnWorker(const Run &run)
+{
+    Resources used;
+    for (const Run *const it : run.worker->runs) {
+        const bool startsWithRun = it == &run || (stepOf(run).gang && isSameStep(*it, run));
+        used = startsWithRun || !isUnsent(*it) ? used + it->reserved : used;
+    }
+    return fits(used, run.worker->entry.capacity);
+}
+
+bool Pool::mayStart(const Run &run) const
+{
+    if (!stepOf(run).gang) {
+        return fitsOnWorker(run);
+    }
+    const auto &members = run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)];
+    return std::all_of(members.begin(), members.end(), [](const Subtask &member) {
+        return std::all_of(member.runs.begin(), member.runs.end(), [](const auto &it) { return !isUnsent(*it) || fitsOnWorker(*it); });
+    });
+}
+
+void Pool::withdraw(Run &run, Millis now, const char *reason)
+{
+    std::vector<Run *> unsent{&run};
+    if (stepOf(run).gang) {
+        for (auto &member : run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)]) {
+            for (const auto &it : member.runs) {
+                it->stopRequested = true;
+                if (it.get() != &run && isUnsent(*it) && it->phase != RunPhase::Committing) {
+                    unsent.push_back(it.get());
+                }
+            }
+        }
+    }
+    for (Run *const it : unsent) {
+        dropRun(*it, now, reason);
+    }
+}
+
+/// Withdraws committed runs that were not sent and no longer fit on their workers.
+void Pool::withdrawUnstartable(Millis now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const auto findUnstartable = [&runs = worker->runs, this] {
+            return std::find_if(runs.begin(), runs.end(), [this](const Run *it) {
+                return it->phase == RunPhase::Starting && it->unsent && !it->stopRequested && !mayStart(*it);
+            });
+        };
+        for (auto it = findUnstartable(); it != worker->runs.end(); it = findUnstartable()) {
+            withdraw(**it, now, "capacity-shrunk");
+        }
+    }
+}
+
 PoolOrders Pool::onRecordsCommitted(Millis now)
 {
     PoolOrders orders;
@@ -582,7 +647,7 @@
             run.phase = RunPhase::Starting;
             if (run.stopRequested) {
                 unwanted.push_back(&run);
-            } else if (isReachable(*run.worker)) {
+            } else if (isReachable(*run.worker) && mayStart(run)) {
                 orders.starts.push_back(makeStart(run, now));
             }
         });
@@ -616,6 +681,7 @@
 PoolOrders Pool::dueOrders(Millis now)
 {
     PoolOrders orders;
+    withdrawUnstartable(now);
     for (auto &[id, worker] : m_workers) {
         if (worker->entry.address.empty()) {
             continue;
@@ -635,7 +701,8 @@
                 }
                 continue;
             }
-            if (it->phase == RunPhase::Starting && it->unsent && isReachable(*worker) && now - it->lastOrderAt >= m_times.resendInterval) {
+            if (it->phase == RunPhase::Starting && it->unsent && isReachable(*worker) && now - it->lastOrderAt >= m_times.resendInterval
+                && mayStart(*it)) {
                 orders.starts.push_back(makeStart(*it, now));
             } else if (it->phase == RunPhase::Running && it->targetSpeedPercent != it->speedPercent && isReachable(*worker)) {
                 it->orderInFlight = true;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -305,6 +305,13 @@
     bool isUsable(const Worker &worker, Millis now) const;
     Candidate candidateOf(const Worker &worker, Millis now) const;
     static int siblingsOn(const Worker &worker, const Job &job, int occurrence, int step);
+    /// True if the worker's present capacity, which may have shrunk since the placement, holds a run that is to start.
+    static bool fitsOnWorker(const Run &run);
+    /// True if the run may be sent; for a member of a gang, if its other members that are to start fit as well.
+    bool mayStart(const Run &run) const;
+    /// Drops a run that is not on its worker. The other members of its gang can't run without it and are dropped or stopped.
+    void withdraw(Run &run, Millis now, const char *reason);
+    void withdrawUnstartable(Millis now);
     bool hasRoomElsewhere(const Run &run, Millis now) const;
     bool mayStopLongRunning(const Job &job, int occurrence, int step, int index, Millis now) const;
     QueuedWork queuedWorkOf(const Job &job, int occurrence, Millis age) const;
--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -202,6 +202,83 @@
     CHECK(sim.start() == 4);
 }
 
+TEST_CASE("a subtask is placed elsewhere if its worker shrank while its record was committed")
+{
+    // The store may take longer than the time for which the larger capacity still counts.
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 0);
+    sim.add(1, 2, 2'000);
+    sim.pool.schedule(sim.now, sim.now, true);
+    REQUIRE(sim.pool.takeRecords(10).size() == 1);
+    sim.setCpu("w0", 2'000);
+    sim.setCpu("w1", 4'000);
+    const auto starts = sim.pool.onRecordsCommitted(sim.now).starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker.id == "w0");
+    sim.accept(starts[0]);
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    const auto moved = sim.commit();
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].worker.id == "w1");
+    CHECK(moved[0].run == 2);
+}
+
+TEST_CASE("a start that was not sent is not repeated on a worker that shrank meanwhile")
+{
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 0);
+    sim.add(1, 1, 2'000);
+    sim.add(2, 1, 2'000);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    sim.answer(starts[0], OrderOutcome::NotSent);
+    sim.answer(starts[1], OrderOutcome::NotSent);
+    sim.now += PoolTimes{}.resendInterval;
+    sim.setCpu("w0", 2'000);
+    const auto repeated = sim.pool.dueOrders(sim.now).starts;
+    REQUIRE(repeated.size() == 1);
+    sim.accept(repeated[0]);
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    CHECK(sim.start() == 0);
+    sim.setCpu("w1", 4'000);
+    CHECK(sim.start() == 1);
+}
+
+TEST_CASE("a gang starts as a whole or not at all if a worker shrank while its record was committed")
+{
+    // A gang of which only some members start holds its workers until the others have failed to come.
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.add(1, 4, 2'000, true);
+    sim.pool.schedule(sim.now, sim.now, true);
+    REQUIRE(sim.pool.takeRecords(10).size() == 1);
+    sim.setCpu("w1", 2'000);
+    CHECK(sim.pool.onRecordsCommitted(sim.now).starts.empty());
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    CHECK(sim.start() == 0);
+    sim.setCpu("w1", 4'000);
+    CHECK(sim.start() == 4);
+}
+
+TEST_CASE("a gang is stopped if one of its starts was not sent and no longer fits")
+{
+    CapacityPool sim({{"w0", 2'000}, {"w1", 2'000}});
+    sim.add(1, 2, 2'000, true);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    sim.accept(starts[0]);
+    sim.answer(starts[1], OrderOutcome::NotSent);
+    sim.now += PoolTimes{}.resendInterval;
+    sim.setCpu(starts[1].worker.id, 1'000);
+    const auto orders = sim.pool.dueOrders(sim.now);
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+    CHECK(orders.stops[0].subtask == starts[0].subtask);
+    sim.end(starts[0].worker.id, RunEnd::Stopped);
+    CHECK(sim.start() == 0);
+    sim.setCpu(starts[1].worker.id, 2'000);
+    CHECK(sim.start() == 2);
+}
+
 TEST_CASE("a job completes although a worker that guards its capacity refuses starts")
 {
     // The worker's row is late, so the pool learns of the shrunk capacity from the refusals.
