Stop the other members of a gang if a worker refuses one of them

Cause: a refused start dropped only its own run. The other members of the gang were left on their workers, where they wait until they give up, and the gang could not start again before. A worker that guards its capacity refuses in this way when its capacity has shrunk and its row doesn't show it yet.

Change: if a start of a gang member is refused, members that were not sent are dropped and the others are stopped, so that the gang starts again as a whole.

Measured: before, the new test failed: no stop was sent, whether the refusal came before or after the other member's confirmation. It passes now.

Conclusion: a gang with a refused member ends by stops of its owner. A member whose start got no response is still dropped alone.

--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -628,7 +628,7 @@
     }
     if (run->attempts <= 1) {
         subtaskOf(*run).retryAt = result.outcome == OrderOutcome::Rejected ? now + m_times.refusalBackoff : now;
-        dropRun(*run, now, nameOf(result.outcome));
+        withdraw(*run, now, nameOf(result.outcome));
     } else if (run->phase == RunPhase::Starting) {
         // An earlier attempt may have been executed; the worker's next list shows it.
         run->phase = RunPhase::Running;
--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -279,6 +279,33 @@
     CHECK(sim.start() == 2);
 }
 
+TEST_CASE("a gang is stopped and starts again if a worker refuses one of its members")
+{
+    // A guarding worker whose capacity shrank refuses the start before its row shows it. The other members would wait for this one
+    // until they give up.
+    CapacityPool sim({{"w0", 2'000}, {"w1", 2'000}});
+    sim.add(1, 2, 2'000, true);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    const bool refusedFirst = GENERATE(false, true);
+    CAPTURE(refusedFirst);
+    if (refusedFirst) {
+        sim.answer(starts[1], OrderOutcome::NoCapacity);
+        sim.accept(starts[0]);
+    } else {
+        sim.accept(starts[0]);
+        sim.answer(starts[1], OrderOutcome::NoCapacity);
+    }
+    const auto stops = sim.pool.dueOrders(sim.now).stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].subtask == starts[0].subtask);
+    CHECK(sim.start() == 0);
+    sim.end(starts[0].worker.id, RunEnd::Stopped);
+    CHECK(sim.start() == 0);
+    sim.now += PoolTimes{}.refusalBackoff;
+    CHECK(sim.start() == 2);
+}
+
 TEST_CASE("a job completes although a worker that guards its capacity refuses starts")
 {
     // The worker's row is late, so the pool learns of the shrunk capacity from the refusals.
