Test changing capacities beside lost answers, a slow store and new owners

The test changes the capacity of a worker every 300 ms on average, while starts get no answer or are carried out late, links are cut, the store is slow and owners are killed.

--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -392,3 +392,62 @@
         FAIL_CHECK(it);
     }
 }
+
+TEST_CASE("no start exceeds changing capacities while starts get no answer, the store is slow and owners change")
+{
+    // In seeds 10 and 175 a worker shrank between the placement and the start.
+    const auto seed = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 10U, 175U);
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto pick = [&](int n) {
+        return static_cast<int>(random() % static_cast<unsigned>(n));
+    };
+    JobCluster cluster(3, 4);
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 80; ++i) {
+        auto spec = makeJob(jobId(i), {makeStep(1 + pick(6), 1'000 + pick(3) * 500, {300 + pick(3) * 600})});
+        spec.steps[0].gang = pick(3) == 0;
+        cluster.submit("e" + std::to_string(pick(3)), spec);
+        if (pick(5) == 0 && !cluster.accepted.empty()) {
+            cluster.cancel("e0", cluster.accepted.back());
+        }
+        const auto worker = "w" + std::to_string(pick(4));
+        cluster.registerWorker(cluster.workers.setCapacity(worker, {std::int64_t{1'000} * pick(9), 16'000, 0}));
+        switch (pick(10)) {
+        case 0:
+            cluster.workers.delayed = {"w" + std::to_string(pick(4))};
+            break;
+        case 1:
+            cluster.workers.blockedLinks = {{"e" + std::to_string(pick(3)), "w" + std::to_string(pick(4))}};
+            break;
+        case 2:
+            cluster.store.latency = {4 + 300 * pick(4)};
+            break;
+        case 3:
+            if (const auto owner = cluster.owner(); !owner.empty()) {
+                cluster.killEntry(owner);
+                cluster.startEntry(owner);
+            }
+            break;
+        case 4:
+            cluster.workers.delayed.clear();
+            cluster.workers.blockedLinks.clear();
+            cluster.store.latency = {4};
+            break;
+        default:
+            break;
+        }
+        cluster.loop.advance({pick(600)});
+    }
+    cluster.workers.delayed.clear();
+    cluster.workers.blockedLinks.clear();
+    cluster.store.latency = {4};
+    for (int i = 0; i < 4; ++i) {
+        cluster.registerWorker(cluster.workers.setCapacity("w" + std::to_string(i), {8'000, 16'000, 0}));
+    }
+    cluster.loop.advance({40'000});
+    CHECK(cluster.allFinal());
+    for (const auto &it : cluster.workers.violations) {
+        FAIL_CHECK(it);
+    }
+}
