Stop the other members of a gang if a member's start was not carried out

Cause: a start without a response is dropped once a list under a higher fencing token lacks it. For a member of a gang only its own run was dropped; the other members waited on their workers until they gave up.

Change: the other members are dropped or stopped, as after a refusal, so that the gang starts again as a whole.

Measured: before, the new test failed: no stop was sent to the member that had started. It passes now.

Conclusion: a lost start of a gang member ends the gang by stops of its owner.

--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -468,6 +468,7 @@
             onWorkerLost(worker, lost, lastResponse, true, now);
         }
     }
+    std::vector<Run *> neverStarted;
     for (Run *const it : std::vector<Run *>(worker.runs)) {
         if (listed.contains(it)) {
             continue;
@@ -477,12 +478,15 @@
             dropRun(*it, now, "not-listed");
         } else if (it->phase == RunPhase::Starting && !it->unsent && !it->orderInFlight && it->startFence < renewalFence) {
             // The worker has seen a higher fencing token than the start's, so the start can no longer be executed.
-            subtaskOf(*it).retryAt = now;
-            dropRun(*it, now, "never-started");
+            neverStarted.push_back(it);
         } else if (it->phase == RunPhase::Running && it->confirmedAt <= sentAt && ++it->missedLists >= missingListsBeforeLost) {
             dropRun(*it, now, "lost");
         }
     }
+    for (Run *const it : neverStarted) {
+        subtaskOf(*it).retryAt = now;
+        withdraw(*it, now, "never-started");
+    }
     std::erase_if(m_unknownRuns, [&](const UnknownRun &unknown) {
         return unknown.workerId == workerId && std::none_of(result.running.begin(), result.running.end(), [&](const RunReport &run) {
                    return run.run == unknown.run && run.subtask == unknown.subtask;
--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -306,6 +306,23 @@
     CHECK(sim.start() == 2);
 }
 
+TEST_CASE("a gang is stopped and starts again if a start of one of its members got no response and was not carried out")
+{
+    CapacityPool sim({{"w0", 2'000}, {"w1", 2'000}});
+    sim.add(1, 2, 2'000, true);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    sim.accept(starts[0]);
+    sim.answer(starts[1], OrderOutcome::Unknown);
+    sim.list();
+    const auto stops = sim.pool.dueOrders(sim.now).stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].subtask == starts[0].subtask);
+    CHECK(sim.start() == 0);
+    sim.end(starts[0].worker.id, RunEnd::Stopped);
+    CHECK(sim.start() == 2);
+}
+
 TEST_CASE("a run that the pool does not know counts as long as its worker lists it")
 {
     // It is stopped, but it occupies the worker until the stop has taken effect, which may take longer than the back-off.
