--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -31,8 +31,6 @@
     void restart(const std::string &id);
     /// Ends the worker with its runs. After `crashDownTime` a worker registers on its VM, under the same id if `crashKeepsId`.
     void crash(const std::string &id);
-    /// Changes the capacity and returns the registration to publish. Starts are checked against a smaller capacity after
-    /// `shrinkGrace`, and against a larger one at once.
     /// Changes the capacity and returns the registration to publish. For `shrinkGrace` starts may still fit the former
     /// capacity.
     WorkerRegistration setCapacity(const std::string &id, Resources capacity);
