--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -61,6 +61,7 @@
     }
     auto owned = std::make_unique<Job>();
     Job &job = *owned;
+    job.sequence = ++m_lastSequence;
     job.spec = spec;
     job.submittedAt = now - std::max(wall - spec.acceptedAt, Millis{0});
     m_jobs.emplace(spec.id, std::move(owned));
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -109,6 +109,8 @@
 };
 
 struct Job {
+    /// Position in the order in which the pool learned of its jobs.
+    std::uint64_t sequence = 0;
     JobSpec spec;
     JobPhase phase = JobPhase::Queued;
     Millis endedAt;
@@ -330,8 +332,15 @@
     Millis m_leaseLimit{std::numeric_limits<std::int64_t>::max()};
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, std::unique_ptr<Worker>> m_workers;
-    /// Jobs that are not final or still have runs.
-    std::set<Job *> m_active;
+    struct BySequence {
+        bool operator()(const Job *a, const Job *b) const
+        {
+            return a->sequence < b->sequence;
+        }
+    };
+    /// Jobs that are not final or still have runs. Their order decides between equal jobs, so it must not depend on addresses.
+    std::set<Job *, BySequence> m_active;
+    std::uint64_t m_lastSequence = 0;
     ChangedJobs m_changed;
     /// Workers with processed ends that are not committed and so not acknowledged yet.
     std::set<std::string> m_unackedWorkers;
