Check orders that a fake worker carries out late against the capacity when they were sent

The check of the fake workers reported starts that exceed a capacity 3 s after it shrank. The check is unchanged for all other orders.

--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -188,7 +188,8 @@
     }
     const auto used = loadWith(worker, need);
     const bool fittedBefore = std::any_of(worker.formerCapacities.begin(), worker.formerCapacities.end(), [&](const auto &it) {
-        return m_loop.now() < it.first && fits(used, it.second);
+        const auto sentAt = m_orderSentAt.count > 0 ? m_orderSentAt : m_loop.now();
+        return sentAt < it.first && fits(used, it.second);
     });
     if (!fits(used, worker.registration.capacity) && !fittedBefore) {
         addViolation("exceeds the capacity of the worker");
@@ -333,7 +334,11 @@
             return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
         }
         if (delayed.contains(id)) {
-            m_loop.timers().after(orderDelay, [this, order, act] { (this->*act)(m_workers.at(order.worker.id), order); });
+            m_loop.timers().after(orderDelay, [this, order, act] {
+                m_orderSentAt = m_loop.now() - orderDelay;
+                (this->*act)(m_workers.at(order.worker.id), order);
+                m_orderSentAt = {};
+            });
             return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
         }
         m_loop.timers().after(latency, [this, order, act, timeout, done = std::move(done)] {
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -138,6 +138,8 @@
     std::set<SubtaskId> m_done;
     std::set<SubtaskId> m_possiblyDone;
     std::set<std::string> m_startedJobs;
+    /// When the order that is being carried out late was sent; 0 for other orders.
+    Millis m_orderSentAt;
     std::map<SubtaskId, int> m_deadlyStarts;
     std::set<std::pair<std::string, std::int64_t>> m_crashed; ///< worker and start of the incarnation
 };
