Attribute crashes by what is known of the start, and keep deadly subtasks from passing as a rack loss

The time now counts from the response, and a start without one always counts as recent. - Crashes of workers that never carried out the start failed a sound job. Such crashes now only make a suspect, and count for the limit of four. - A long-running suspect found no room in a pool full of short subtasks (not running for 45 s). It now gets the reservation that others get.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -131,6 +131,8 @@
 
 /// Evidence that a crashed worker gives against a subtask that had just been started on it.
 enum class Suspicion {
+    /// It is not known whether the worker carried the start out.
+    PossibleStart,
     /// Others may have been started at the same time, or the time of the crash is not known well.
     RecentStart,
     /// The worker crashed at once, and a suspect was the only run that had just been started.
@@ -141,7 +143,7 @@
 struct CrashRecord {
     std::string workerId;
     std::int64_t workerStartedAt = 0; ///< start of the worker's incarnation, Unix milliseconds
-    Suspicion suspicion = Suspicion::RecentStart;
+    Suspicion suspicion = Suspicion::PossibleStart;
     /// A later incarnation has been seen. Until then the worker may only be unreachable.
     bool confirmed = false;
 
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -10,8 +10,6 @@
 constexpr int minCrashesOfCause = 2;
 /// A subtask with this many crashes is not started again, proven or not.
 constexpr int maxCrashes = 4;
-/// Other workers of a rack that crash together are attributed to the rack from this number on.
-constexpr std::ptrdiff_t rackLossLimit = 2;
 
 int confirmedCrashes(std::span<const CrashRecord> crashes)
 {
@@ -20,9 +18,11 @@
 
 bool mustGiveUp(std::span<const CrashRecord> crashes)
 {
-    const bool proven = std::any_of(
-        crashes.begin(), crashes.end(), [](const CrashRecord &it) { return it.confirmed && it.suspicion == Suspicion::SoleSuspect; });
-    return confirmedCrashes(crashes) >= (proven ? minCrashesOfCause : maxCrashes);
+    const auto count = [&](Suspicion least) {
+        return std::count_if(crashes.begin(), crashes.end(), [&](const CrashRecord &it) { return it.confirmed && it.suspicion >= least; });
+    };
+    const bool proven = count(Suspicion::SoleSuspect) > 0 && count(Suspicion::RecentStart) >= minCrashesOfCause;
+    return proven || count(Suspicion::PossibleStart) >= maxCrashes;
 }
 
 std::vector<std::optional<Suspicion>> attributeCrash(std::span<const LostRun> runs)
@@ -35,7 +35,8 @@
             continue;
         }
         const bool proven = recentStarts == 1 && it.isSuspect && it.crashedAtOnce;
-        result.emplace_back(proven ? Suspicion::SoleSuspect : Suspicion::RecentStart);
+        const auto suspicion = proven ? Suspicion::SoleSuspect : Suspicion::RecentStart;
+        result.emplace_back(it.started ? suspicion : Suspicion::PossibleStart);
     }
     return result;
 }
@@ -45,18 +46,10 @@
     if (loss.rack.empty()) {
         return false;
     }
-    std::ptrdiff_t together = 0;
-    for (const auto &it : others) {
+    return std::any_of(others.begin(), others.end(), [&](const WorkerLoss &it) {
         const auto apart = it.at < loss.at ? loss.at - it.at : it.at - loss.at;
-        if (it.rack != loss.rack || apart > commonLossWindow) {
-            continue;
-        }
-        if (!it.hadRecentStart) {
-            return true;
-        }
-        ++together;
-    }
-    return together >= rackLossLimit;
+        return it.rack == loss.rack && apart <= commonLossWindow && !it.hadRecentStart;
+    });
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/scheduling/crashes.hpp
+++ b/src/scheduling/crashes.hpp
@@ -36,6 +36,8 @@
 struct LostRun {
     /// Its subtask has been under suspicion before.
     bool isSuspect = false;
+    /// The worker has accepted or listed the run.
+    bool started = false;
     /// The worker may have crashed within `recentStartWindow` of the start.
     bool recentlyStarted = false;
     /// The worker is known to have crashed within that time, so that another cause is unlikely.
@@ -52,8 +54,8 @@
     bool hadRecentStart = false;
 };
 
-/// True if other workers of the rack were lost at the same time without a run that could have crashed them, or too many of them: then
-/// the rack is the likely cause. `others` must not contain the loss itself.
+/// True if another worker of the rack was lost at the same time without a run that could have crashed it: then the rack is the likely
+/// cause. `others` must not contain the loss itself.
 bool isRackLoss(const WorkerLoss &loss, std::span<const WorkerLoss> others);
 
 } // namespace hibiscusbridge::jobs
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -452,11 +452,14 @@
         }
         const bool suspect = !subtask.crashes.empty();
         auto choice = suspect ? chooseForSuspect(step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
-        if (!choice && suspect) {
-            continue;
-        }
         if (!choice && step.longRunning && !advised) {
             choice = chooseOrReserve(ready, round, now);
+            if (choice && suspect) {
+                round.startProbation(*choice);
+            }
+        }
+        if (!choice && suspect) {
+            continue;
         }
         if (!choice) {
             return;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -354,8 +354,8 @@
     std::vector<UnknownRun> m_unknownRuns;
     /// Workers whose loss is recorded as an unconfirmed crash, with the subtasks that have such a record.
     std::map<std::string, std::vector<SubtaskId>> m_unconfirmedCrashes;
-    /// Recent losses of workers, by worker id.
-    std::vector<std::pair<std::string, WorkerLoss>> m_recentLosses;
+    /// Recent losses of workers, by worker id and start of the incarnation.
+    std::map<std::pair<std::string, std::int64_t>, WorkerLoss> m_recentLosses;
     /// Subtasks whose job fails in the next scheduling pass.
     std::vector<SubtaskId> m_givenUp;
     std::vector<AdviceRequest> m_adviceRequests;
--- a/src/scheduling/poolcrashes.cpp
+++ b/src/scheduling/poolcrashes.cpp
@@ -35,8 +35,9 @@
 /// True if the run may have crashed a worker that responded last at `lastResponse`.
 static bool isRecentStart(const Run &run, Millis lastResponse)
 {
-    // The start time of an inherited run is unknown.
-    return run.phase == RunPhase::Inherited || run.lastOrderAt + recentStartWindow >= lastResponse;
+    // The start time of an inherited run or of one without a response is unknown. A late owner processes the response to the start late,
+    // as it does later ones, so the time counts from then.
+    return run.phase != RunPhase::Running || std::max(run.lastOrderAt, run.confirmedAt) + recentStartWindow >= lastResponse;
 }
 
 /// True if a start order of the run may have reached its worker.
@@ -64,19 +65,20 @@
     }
     const auto loss = lossOf(worker, lastResponse);
     std::erase_if(m_recentLosses, [&](const auto &it) { return now - it.second.at > lossMemory; });
+    m_recentLosses.emplace(std::pair(worker.entry.id, worker.incarnationStart), loss);
     std::vector<WorkerLoss> others;
-    for (const auto &[id, it] : m_recentLosses) {
-        if (id != worker.entry.id) {
+    for (const auto &[incarnation, it] : m_recentLosses) {
+        if (incarnation.first != worker.entry.id) {
             others.push_back(it);
         }
     }
     for (const auto &[id, it] : m_workers) {
         const bool mayBePlanned = it->entry.draining || (it->runs.empty() && now < it->plannedRestartUntil);
-        if (it.get() != &worker && it->misses > 0 && !mayBePlanned) {
+        const bool recorded = m_recentLosses.contains({id, it->incarnationStart});
+        if (it.get() != &worker && it->misses > 0 && !mayBePlanned && !recorded) {
             others.push_back(lossOf(*it, it->answeredAt));
         }
     }
-    m_recentLosses.emplace_back(worker.entry.id, loss);
     if (sent.empty()) {
         return;
     }
@@ -84,8 +86,11 @@
     const auto lossSeenAt = worker.unreachableSince > lastResponse ? worker.unreachableSince : now;
     std::vector<LostRun> lost;
     for (const Run *const it : sent) {
-        const bool atOnce = it->phase != RunPhase::Inherited && lossSeenAt - it->lastOrderAt <= recentStartWindow;
-        lost.push_back({!subtaskOf(*it).crashes.empty(), isRecentStart(*it, lastResponse), atOnce});
+        const bool started = it->phase == RunPhase::Running;
+        lost.push_back({.isSuspect = !subtaskOf(*it).crashes.empty(),
+                        .started = started,
+                        .recentlyStarted = isRecentStart(*it, lastResponse),
+                        .crashedAtOnce = started && lossSeenAt - std::max(it->lastOrderAt, it->confirmedAt) <= recentStartWindow});
     }
     const auto suspicions = attributeCrash(lost);
     logEvent(LogLevel::Warn,
