--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -212,10 +212,7 @@
     JobCluster cluster(2, 8);
     cluster.workers.crashKeepsId = GENERATE(false, true);
     cluster.loop.advance(startupTime);
-    std::vector<std::string> ids;
-    for (int i = 0; i < 8; ++i) {
-        ids.push_back("w" + std::to_string(i));
-    }
+    std::vector<std::string> ids{"w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"};
     cluster.workers.replaced = [&](const WorkerRegistration &it) {
         cluster.registerWorker(it);
         if (std::find(ids.begin(), ids.end(), it.id) == ids.end()) {
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -126,7 +126,7 @@
         });
         const auto answer = cluster.readQueue(other);
         if (answer.kind == AnswerKind::QueuedCount) {
-            REQUIRE(answer.queued * 2 >= waiting);
+            REQUIRE(std::int64_t{answer.queued} * 2 >= waiting);
         }
     }
     CHECK(cluster.accepted.size() == 300);
