Answer every call that was read before a stopping entry exits

Cause: an entry takes calls until its process is gone, each call may wait for the store until 0.3 s before its caller's deadline, and the end of the grace period ended the event loop whatever was in flight. Between the last look at the calls in flight and the end of the loop more could come, and a call whose answer was queued but not sent was not counted. A SIGTERM before the start was complete ended the process at once.

Change: calls of a stopping entry end with the grace period, less 0.3 s for the last answers. Those still open then are answered: 504 if a write may still be applied, otherwise 503, after which nothing is sent to the store for them. A call with less than 0.3 s left is refused at once. The process ends when no request that was read lacks its whole response on any of its servers, instead of when the intake is idle.

--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -35,6 +35,13 @@
 
 /// State of one request; shared by libmicrohttpd's connection and the responder.
 struct HttpServer::Exchange {
+    explicit Exchange(std::shared_ptr<std::size_t> counter)
+        : open(std::move(counter))
+    {
+    }
+
+    /// Number of requests of the server between their headers and the end of their response.
+    std::shared_ptr<std::size_t> open;
     /// Null once the connection is gone or the response is queued.
     MHD_Connection *connection = nullptr;
     HttpRequest request;
@@ -59,6 +66,7 @@
     int epollFd = -1;
     /// Connections that wait for their response.
     std::set<MHD_Connection *> suspended;
+    std::shared_ptr<std::size_t> openRequests = std::make_shared<std::size_t>(0);
     bool closeAfterResponse = false;
     bool runPending = false;
     /// Counts calls of `pump`; a timer of an earlier call is stale.
@@ -111,7 +119,8 @@
 
 MHD_Result HttpServer::Daemon::begin(MHD_Connection *connection, const char *url, const char *method, void **state)
 {
-    auto exchange = std::make_shared<Exchange>();
+    auto exchange = std::make_shared<Exchange>(openRequests);
+    ++*openRequests;
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
@@ -240,6 +249,7 @@
         return;
     }
     (*handle)->connection = nullptr;
+    --*(*handle)->open;
     delete handle;
     *state = nullptr;
 }
@@ -318,6 +328,11 @@
     return MHD_get_daemon_info(m_daemon->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
 }
 
+std::size_t HttpServer::openRequests() const
+{
+    return *m_daemon->openRequests;
+}
+
 void HttpServer::closeConnectionsAfterResponse()
 {
     m_daemon->closeAfterResponse = true;
--- a/src/adapters/httpserver.hpp
+++ b/src/adapters/httpserver.hpp
@@ -60,6 +60,8 @@
     std::uint16_t port() const;
     /// Connections that are open now.
     std::uint32_t openConnections() const;
+    /// Requests whose headers have been read and whose response has not been sent in full.
+    std::size_t openRequests() const;
     /// Later responses tell the client to close its connection.
     void closeConnectionsAfterResponse();
 
--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -19,6 +19,10 @@
 constexpr Millis refusalRetryTime{350};
 /// Retry delay for callers while the store is unavailable: about the length of a short outage.
 constexpr Millis storeRetryAfter{1'000};
+/// A stopping entry refuses calls that it would have to give up sooner than this.
+constexpr Millis minCallTime{300};
+/// Retry delay for callers of a stopping entry; other entries can serve them.
+constexpr Millis stopRetryAfter{1'000};
 constexpr std::size_t idLength = 16;
 
 static bool isJobId(std::string_view text)
@@ -67,60 +71,97 @@
     if (shards.empty()) {
         return done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the division of the fleet is not known yet"});
     }
-    ++m_inFlight;
-    Done counted = [this, alive = m_alive, done = std::move(done)](Answer answer) {
-        if (*alive) {
-            --m_inFlight;
-        }
-        done(std::move(answer));
-    };
+    if (m_stopsAt && *m_stopsAt - m_ports.clock.boot() < minCallTime) {
+        logEvent(LogLevel::Info, "call_refused", {{"job", id}, {"route", queue->name}, {"reason", "stopping"}});
+        return done({.kind = AnswerKind::Refused, .retryAfter = stopRetryAfter, .reason = "this entry is stopping"});
+    }
+    auto open = std::make_shared<OpenCall>(OpenCall{.id = id, .done = std::move(done)});
+    m_calls.insert(open);
     if (call.kind == CallKind::Submit) {
-        return submit(*queue, shards, id, std::move(call), std::move(counted));
+        return submit(*queue, shards, std::move(call), open);
     }
     if (call.kind == CallKind::Read) {
-        return readState(std::move(shards), id, std::move(counted));
+        return readState(std::move(shards), open);
     }
     auto attempt = std::make_shared<Attempt>();
     attempt->shard = shards.front();
     attempt->otherShards.assign(shards.begin() + 1, shards.end());
     attempt->id = id;
     attempt->startedAt = m_ports.clock.boot();
-    attempt->deadline = attempt->startedAt + std::max(call.callerTimeout - answerMargin, answerMargin);
-    attempt->done = std::move(counted);
+    attempt->deadline = answerDeadline(call.callerTimeout);
+    attempt->call = open;
     cancel(attempt);
 }
 
-void Intake::submit(const Queue &queue, std::span<const std::string> shards, const std::string &id, Call call, Done done)
+Millis Intake::answerDeadline(Millis callerTimeout) const
+{
+    const auto deadline = m_ports.clock.boot() + std::max(callerTimeout - answerMargin, answerMargin);
+    return m_stopsAt ? std::min(deadline, *m_stopsAt) : deadline;
+}
+
+void Intake::answer(const OpenCallPtr &call, Answer answer)
+{
+    if (m_calls.erase(call) == 0) {
+        return; // Answered when the entry stopped.
+    }
+    const auto done = std::exchange(call->done, nullptr);
+    done(std::move(answer));
+}
+
+void Intake::stopBy(Millis end)
+{
+    m_stopsAt = end;
+    m_ports.timers.after(end - m_ports.clock.boot(), [this, alive = m_alive] {
+        if (*alive) {
+            answerOpenCalls();
+        }
+    });
+}
+
+void Intake::answerOpenCalls()
+{
+    for (const auto &it : std::set<OpenCallPtr>(m_calls)) {
+        logEvent(LogLevel::Warn, "call_given_up", {{"job", it->id}, {"may_be_applied", it->mayBeApplied}, {"reason", "stopping"}});
+        answer(it,
+               {.kind = it->mayBeApplied ? AnswerKind::Unknown : AnswerKind::Refused,
+                .retryAfter = stopRetryAfter,
+                .reason = "this entry is stopping"});
+    }
+}
+
+void Intake::submit(const Queue &queue, std::span<const std::string> shards, Call call, const OpenCallPtr &open)
 {
     if (!call.job.ok()) {
-        logEvent(LogLevel::Info, "job_invalid", {{"job", id}, {"route", queue.name}, {"reason", std::string(call.job.status().message())}});
-        return done({.kind = AnswerKind::Invalid, .reason = std::string(call.job.status().message())});
+        logEvent(LogLevel::Info,
+                 "job_invalid",
+                 {{"job", open->id}, {"route", queue.name}, {"reason", std::string(call.job.status().message())}});
+        return answer(open, {.kind = AnswerKind::Invalid, .reason = std::string(call.job.status().message())});
     }
     auto spec = std::move(*call.job);
-    spec.id = id;
+    spec.id = open->id;
     spec.route = queue.name;
     spec.policy = queue.policy;
     spec.acceptedAt = m_ports.clock.wall();
     if (auto admission = m_ports.admit(queue, spec); !admission.accepted) {
         logEvent(LogLevel::Info,
                  "job_refused",
-                 {{"job", id}, {"route", queue.name}, {"reason", admission.reason}, {"retry_after_ms", admission.retryAfter.count}});
-        return done({.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
+                 {{"job", open->id}, {"route", queue.name}, {"reason", admission.reason}, {"retry_after_ms", admission.retryAfter.count}});
+        return answer(open, {.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
     }
     auto attempt = std::make_shared<Attempt>();
     attempt->shard = isLongRunning(spec) ? shards.back() : shards.front();
-    attempt->id = id;
+    attempt->id = open->id;
     attempt->value = encodeSpec(spec);
     attempt->startedAt = m_ports.clock.boot();
-    attempt->deadline = attempt->startedAt + std::max(call.callerTimeout - answerMargin, answerMargin);
-    attempt->done = std::move(done);
+    attempt->deadline = answerDeadline(call.callerTimeout);
+    attempt->call = open;
     tryStore(std::move(attempt));
 }
 
 void Intake::retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>))
 {
     m_ports.timers.after(retryDelay, [this, alive = m_alive, attempt, retry] {
-        if (*alive) {
+        if (*alive && attempt->call->done) {
             (this->*retry)(attempt);
         }
     });
@@ -134,6 +175,7 @@
     tx.conditions.push_back({key, 0});
     tx.puts.push_back({key, attempt->value});
     const auto timeout = std::min(storeTimeout, std::max(attempt->deadline - now, Millis{100}));
+    attempt->call->mayBeApplied = true;
     m_ports.store.commit(std::move(tx), timeout, [this, alive = m_alive, attempt, now](const CommitResult &result) {
         if (!*alive) {
             return;
@@ -148,10 +190,13 @@
                       {"known_before", known},
                       {"version", result.version},
                       {"store_ms", elapsed}});
-            return attempt->done({.kind = AnswerKind::Done});
+            return answer(attempt->call, {.kind = AnswerKind::Done});
+        }
+        if (!attempt->call->done) {
+            return; // Answered when the entry stopped.
         }
         attempt->uncertain = attempt->uncertain || result.outcome == CommitOutcome::Unknown;
-        attempt->lastError = result.error;
+        attempt->call->mayBeApplied = attempt->uncertain;
         if (!attempt->uncertain) {
             attempt->deadline = std::min(attempt->deadline, attempt->startedAt + refusalRetryTime);
         }
@@ -159,27 +204,31 @@
             logEvent(LogLevel::Warn,
                      attempt->uncertain ? "job_outcome_unknown" : "job_refused",
                      {{"job", attempt->id}, {"shard", attempt->shard}, {"reason", "store: " + result.error}});
-            return attempt->done({.kind = attempt->uncertain ? AnswerKind::Unknown : AnswerKind::Refused,
-                                  .retryAfter = storeRetryAfter,
-                                  .reason = "the store did not confirm the job"});
+            return answer(attempt->call,
+                          {.kind = attempt->uncertain ? AnswerKind::Unknown : AnswerKind::Refused,
+                           .retryAfter = storeRetryAfter,
+                           .reason = "the store did not confirm the job"});
         }
         retryLater(attempt, &Intake::tryStore);
     });
 }
 
-void Intake::readState(std::vector<std::string> shards, const std::string &id, Done done)
+void Intake::readState(std::vector<std::string> shards, const OpenCallPtr &call)
 {
     const auto shard = shards.front();
     shards.erase(shards.begin());
-    const auto key = progressKey(shard, id);
-    const auto fail = [id, done](const std::string &error) {
-        logEvent(LogLevel::Warn, "state_not_read", {{"job", id}, {"reason", "store: " + error}});
-        done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
+    const auto key = progressKey(shard, call->id);
+    const auto fail = [this, call](const std::string &error) {
+        logEvent(LogLevel::Warn, "state_not_read", {{"job", call->id}, {"reason", "store: " + error}});
+        answer(call, {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
     };
     m_ports.store.read({key.table, key.part, key.key, key.key + '\x01', 1},
                        readTimeout,
-                       [this, alive = m_alive, shard, shards, id, done, fail](const ReadResult &result) {
-                           if (!*alive || result.outcome != ReadOutcome::Answered) {
+                       [this, alive = m_alive, shard, shards, call, fail](const ReadResult &result) {
+                           if (!*alive || !call->done) {
+                               return;
+                           }
+                           if (result.outcome != ReadOutcome::Answered) {
                                return fail(result.error);
                            }
                            if (!result.rows.empty()) {
@@ -187,23 +236,26 @@
                                if (!outcome) {
                                    return fail("invalid progress record");
                                }
-                               return done(
-                                   {.kind = AnswerKind::State, .phase = outcome->phase, .reason = std::move(outcome->failureReason)});
+                               return answer(
+                                   call, {.kind = AnswerKind::State, .phase = outcome->phase, .reason = std::move(outcome->failureReason)});
                            }
-                           const auto submission = submissionKey(shard, id);
-                           m_ports.store.read({submission.table, submission.part, id, id + '\x01', 1},
+                           const auto submission = submissionKey(shard, call->id);
+                           m_ports.store.read({submission.table, submission.part, call->id, call->id + '\x01', 1},
                                               readTimeout,
-                                              [this, alive, shards, id, done, fail](const ReadResult &row) {
-                                                  if (!*alive || row.outcome != ReadOutcome::Answered) {
+                                              [this, alive, shards, call, fail](const ReadResult &row) {
+                                                  if (!*alive || !call->done) {
+                                                      return;
+                                                  }
+                                                  if (row.outcome != ReadOutcome::Answered) {
                                                       return fail(row.error);
                                                   }
                                                   if (!row.rows.empty()) {
-                                                      return done({.kind = AnswerKind::State, .phase = JobPhase::Queued});
+                                                      return answer(call, {.kind = AnswerKind::State, .phase = JobPhase::Queued});
                                                   }
                                                   if (!shards.empty()) {
-                                                      return readState(shards, id, done);
+                                                      return readState(shards, call);
                                                   }
-                                                  done({.kind = AnswerKind::NoJob, .reason = "no such job"});
+                                                  answer(call, {.kind = AnswerKind::NoJob, .reason = "no such job"});
                                               });
                        });
 }
@@ -213,7 +265,7 @@
     const auto key = submissionKey(attempt->shard, attempt->id);
     m_ports.store.read(
         {key.table, key.part, key.key, key.key + '\x01', 1}, readTimeout, [this, alive = m_alive, attempt](const ReadResult &result) {
-            if (!*alive) {
+            if (!*alive || !attempt->call->done) {
                 return;
             }
             if (result.outcome != ReadOutcome::Answered) {
@@ -221,13 +273,14 @@
                     return retryLater(attempt, &Intake::cancel);
                 }
                 logEvent(LogLevel::Warn, "cancel_refused", {{"job", attempt->id}, {"reason", "store: " + result.error}});
-                return attempt->done({.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
+                return answer(attempt->call,
+                              {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
             }
             if (!result.rows.empty()) {
                 return tryCancel(attempt);
             }
             if (attempt->otherShards.empty()) {
-                return attempt->done({.kind = AnswerKind::NoJob, .reason = "no such job"});
+                return answer(attempt->call, {.kind = AnswerKind::NoJob, .reason = "no such job"});
             }
             attempt->shard = attempt->otherShards.front();
             attempt->otherShards.erase(attempt->otherShards.begin());
@@ -239,19 +292,23 @@
 {
     RowTransaction tx;
     tx.puts.push_back({cancellationKey(attempt->shard, attempt->id), "1"});
+    attempt->call->mayBeApplied = true;
     m_ports.store.commit(std::move(tx), storeTimeout, [this, alive = m_alive, attempt](const CommitResult &result) {
         if (!*alive) {
             return;
         }
         if (result.outcome == CommitOutcome::Applied) {
             logEvent(LogLevel::Info, "cancel_accepted", {{"job", attempt->id}, {"shard", attempt->shard}, {"version", result.version}});
-            return attempt->done({.kind = AnswerKind::Done});
+            return answer(attempt->call, {.kind = AnswerKind::Done});
+        }
+        if (!attempt->call->done) {
+            return;
         }
         if (m_ports.clock.boot() < attempt->deadline) {
             return retryLater(attempt, &Intake::tryCancel);
         }
         logEvent(LogLevel::Warn, "cancel_unknown", {{"job", attempt->id}, {"reason", "store: " + result.error}});
-        attempt->done({.kind = AnswerKind::Unknown, .reason = "the store did not respond"});
+        answer(attempt->call, {.kind = AnswerKind::Unknown, .reason = "the store did not respond"});
     });
 }
 
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -9,6 +9,8 @@
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -87,12 +89,23 @@
     Intake(const Intake &) = delete;
     Intake &operator=(const Intake &) = delete;
     void handle(Call call, Done done);
-    int inFlight() const
+    /// Answers every call by `end` (boot clock), and refuses calls at once for which less than `minCallTime` is left until then.
+    void stopBy(Millis end);
+    std::size_t inFlight() const
     {
-        return m_inFlight;
+        return m_calls.size();
     }
 
 private:
+    /// A call that waits for the store. Answered once; nothing is sent to the store for it afterwards.
+    struct OpenCall {
+        std::string id;
+        /// A write of this call has been sent, and the store has not said that it was not applied.
+        bool mayBeApplied = false;
+        Done done; ///< null once the call has been answered
+    };
+    using OpenCallPtr = std::shared_ptr<OpenCall>;
+
     struct Attempt {
         std::string shard;
         /// Shards in which the job is looked for after `shard`; only used by cancellations.
@@ -103,20 +116,25 @@
         Millis deadline;
         /// An earlier write was not acknowledged and may still be applied.
         bool uncertain = false;
-        std::string lastError;
-        Done done;
+        OpenCallPtr call;
     };
 
-    void submit(const Queue &queue, std::span<const std::string> shards, const std::string &id, Call call, Done done);
+    void submit(const Queue &queue, std::span<const std::string> shards, Call call, const OpenCallPtr &open);
+    /// Latest time (boot clock) at which a call with this timeout is answered.
+    Millis answerDeadline(Millis callerTimeout) const;
+    void answer(const OpenCallPtr &call, Answer answer);
+    void answerOpenCalls();
     void tryStore(std::shared_ptr<Attempt> attempt);
     /// Reads the job's state from the first of the shards that has it.
-    void readState(std::vector<std::string> shards, const std::string &id, Done done);
+    void readState(std::vector<std::string> shards, const OpenCallPtr &call);
     void cancel(std::shared_ptr<Attempt> attempt);
     void tryCancel(std::shared_ptr<Attempt> attempt);
     void retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>));
 
     Ports m_ports;
-    int m_inFlight = 0;
+    std::set<OpenCallPtr> m_calls;
+    /// Boot clock: when the entry stops answering calls.
+    std::optional<Millis> m_stopsAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,7 +24,8 @@
 constexpr Millis stopPollInterval{50};
 /// Part of the shutdown grace period reserved for the exit of the process.
 constexpr Millis shutdownReserve{700};
-constexpr Millis flushDelay{50};
+/// Part of the shutdown grace period, before the reserve, in which calls are no longer served and the last answers are sent.
+constexpr Millis lastAnswersTime{300};
 constexpr Millis peerTimeout{600};
 /// All entries share the 64 connections that a worker accepts. The owner needs one for the renewal request and a few
 /// for orders.
@@ -61,8 +62,9 @@
     std::string unavailableReason() const;
     void reload();
     void onStop();
-    void close();
     void waitForCalls();
+    /// Requests of any server of this entry that have been read and whose response has not been sent.
+    std::size_t openRequests() const;
 
     EventLoop &m_loop;
     EntrySettings m_settings;
@@ -194,13 +196,14 @@
 
 absl::Status Node::start()
 {
+    // Before the entry can be reached: a signal would otherwise end it with callers' connections open.
+    m_loop.onStopSignal([this](int) { onStop(); });
+    m_loop.onReloadSignal([this] { reload(); });
     if (auto status = listen(); !status.ok()) {
         return status;
     }
     m_operator.start();
     m_host.start();
-    m_loop.onStopSignal([this](int) { onStop(); });
-    m_loop.onReloadSignal([this] { reload(); });
     logEvent(
         LogLevel::Info, "started", {{"zone", m_settings.zone}, {"callers", m_settings.callerAddress}, {"store", m_settings.storeAddress}});
     return absl::OkStatus();
@@ -339,26 +342,31 @@
     m_stopping = true;
     logEvent(LogLevel::Info, "stopping", {{"calls_in_flight", m_intake.inFlight()}, {"shards", m_host.leases().held().size()}});
     m_host.stop([this] { m_shardsReleased = true; });
-    m_loop.timers().after(loadBalancerDelay, [this] { close(); });
-    m_loop.timers().after(m_settings.stopGrace - shutdownReserve, [this] {
-        logEvent(LogLevel::Warn, "stop_grace_over", {{"calls_in_flight", m_intake.inFlight()}});
+    const auto grace = m_settings.stopGrace - shutdownReserve;
+    m_intake.stopBy(m_clock.boot() + grace - lastAnswersTime);
+    m_loop.timers().after(std::min(loadBalancerDelay, grace - lastAnswersTime), [this] {
+        m_callerServer->closeConnectionsAfterResponse();
+        waitForCalls();
+    });
+    m_loop.timers().after(grace, [this] {
+        logEvent(LogLevel::Warn,
+                 "stop_grace_over",
+                 {{"calls_in_flight", m_intake.inFlight()}, {"open_requests", openRequests()}, {"shards_released", m_shardsReleased}});
         m_loop.stop();
     });
 }
 
-void Node::close()
+std::size_t Node::openRequests() const
 {
-    m_callerServer->closeConnectionsAfterResponse();
-    waitForCalls();
+    std::size_t n = m_callerServer->openRequests() + m_readyServer->openRequests() + m_peerServer->openRequests();
+    return m_metricsServer ? n + m_metricsServer->openRequests() : n;
 }
 
 void Node::waitForCalls()
 {
-    if (m_intake.inFlight() == 0 && m_shardsReleased) {
-        return m_loop.timers().after(flushDelay, [this] {
-            logEvent(LogLevel::Info, "stopped");
-            m_loop.stop();
-        });
+    if (m_shardsReleased && openRequests() == 0) {
+        logEvent(LogLevel::Info, "stopped");
+        return m_loop.stop();
     }
     m_loop.timers().after(stopPollInterval, [this] { waitForCalls(); });
 }
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -129,7 +129,7 @@
 
 /// A port that was free a moment ago. Ports below the ephemeral range are taken in turn, so that connections of the
 /// test cannot occupy them in between.
-static std::string freeAddress()
+std::string freeAddress()
 {
     static int next = 10'000 + static_cast<int>(getpid() % 500) * 40;
     for (;; ++next) {
--- a/tests/process/harness.hpp
+++ b/tests/process/harness.hpp
@@ -104,6 +104,9 @@
 std::string fleetSection();
 std::string poolSection(const Fleet &fleet, std::size_t pools, std::size_t vmsPerPool, std::size_t minHealthy = 1);
 
+/// An address on loopback with a port that was free a moment ago.
+std::string freeAddress();
+
 /// Polls until the condition holds; false when it does not within the time.
 bool waitFor(const std::function<bool()> &condition, Millis timeout);
 
