Release the shards of a stopping entry although the store refuses at first, also those just claimed

Cause: a release was sent once, and given up when the store refused it. A claim that was answered after the stop had begun made the stopping entry the owner again, until its process ended. Both leave a shard to a lease that nobody renews.

Change: a release is repeated until it is decided, or until the lease ends; a claim that succeeds during the stop is released at once. The stop waits for both, within its grace period.

--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -6,6 +6,7 @@
 #include "helpers/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscusbridge::jobs
 {
@@ -55,7 +56,7 @@
         if (!shards.contains(name)) {
             shard.wanted = false;
             if (shard.held) {
-                release(name, "", [] {});
+                release(name, "");
             }
         }
     }
@@ -383,6 +384,15 @@
                    });
 }
 
+static RowTransaction releaseOf(const RowCondition &claim, const std::string &successor)
+{
+    const Json json{{"holder", ""}, {"address", ""}, {"heir", successor}, {"nonce", randomId()}};
+    RowTransaction tx;
+    tx.conditions.push_back(claim);
+    tx.puts.push_back({claim.key, json.dump()});
+    return tx;
+}
+
 void Leases::onClaimed(const std::string &name, const std::string &nonce, bool handedOver, const CommitResult &result)
 {
     auto &shard = m_shards[name];
@@ -395,7 +405,11 @@
         if (result.outcome == CommitOutcome::Unknown) {
             logEvent(LogLevel::Warn, "claim_unknown", {{"shard", name}, {"error", result.error}});
         }
-        return;
+        return reportStopped();
+    }
+    if (m_stopping) {
+        const RowCondition claim{{claimTable, name, rowName}, result.version};
+        return sendRelease(name, releaseOf(claim, ""), m_clock.boot() + m_times.leaseDuration);
     }
     if (result.version < shard.claimVersion) {
         return; // Another entry has claimed the shard since.
@@ -477,23 +491,47 @@
     m_callbacks.lost(shard);
 }
 
-void Leases::release(const std::string &name, const std::string &successor, std::function<void()> done)
+void Leases::release(const std::string &name, const std::string &successor)
 {
-    auto &shard = m_shards[name];
-    if (!shard.held) {
-        return done();
-    }
-    RowTransaction tx;
-    tx.conditions.push_back(condition(name));
-    const Json json{{"holder", ""}, {"address", ""}, {"heir", successor}, {"nonce", randomId()}};
-    tx.puts.push_back({{claimTable, name, rowName}, json.dump()});
+    const auto tx = releaseOf(condition(name), successor);
     loseShard(name, "released");
-    m_store.commit(std::move(tx), m_times.callTimeout, [name, done = std::move(done)](const CommitResult &result) {
-        logEvent(LogLevel::Info, "shard_released", {{"shard", name}, {"applied", result.outcome == CommitOutcome::Applied}});
-        done();
+    sendRelease(name, tx, m_clock.boot() + m_times.leaseDuration);
+}
+
+void Leases::sendRelease(const std::string &name, const RowTransaction &tx, Millis retryUntil)
+{
+    ++m_releasesInFlight;
+    m_store.commit(tx, m_times.callTimeout, [this, alive = m_alive, name, tx, retryUntil](const CommitResult &result) {
+        if (!*alive) {
+            return;
+        }
+        --m_releasesInFlight;
+        // On a conflict an earlier attempt was applied, or another entry holds the shard.
+        const bool undecided = result.outcome == CommitOutcome::Refused || result.outcome == CommitOutcome::Unknown;
+        if (undecided && m_clock.boot() + retryDelay < retryUntil) {
+            ++m_releasesInFlight;
+            return m_timers.after(retryDelay, [this, alive, name, tx, retryUntil] {
+                if (*alive) {
+                    --m_releasesInFlight;
+                    sendRelease(name, tx, retryUntil);
+                }
+            });
+        }
+        logEvent(LogLevel::Info,
+                 "shard_released",
+                 {{"shard", name}, {"applied", result.outcome == CommitOutcome::Applied}, {"error", result.error}});
+        reportStopped();
     });
 }
 
+void Leases::reportStopped()
+{
+    const bool claiming = std::any_of(m_shards.begin(), m_shards.end(), [](const auto &it) { return it.second.claiming; });
+    if (m_stopped && !claiming && m_releasesInFlight == 0) {
+        std::exchange(m_stopped, nullptr)();
+    }
+}
+
 std::map<std::string, ShardHolder> Leases::heldByOthers() const
 {
     std::map<std::string, ShardHolder> shards;
@@ -511,24 +549,17 @@
 void Leases::handOver(const std::string &shard, const std::string &successor)
 {
     logEvent(LogLevel::Info, "shard_handed_over", {{"shard", shard}, {"to", successor}});
-    release(shard, successor, [] {});
+    release(shard, successor);
 }
 
 void Leases::stop(std::function<void()> done)
 {
     m_stopping = true;
-    const auto names = held();
-    auto remaining = std::make_shared<std::size_t>(names.size());
-    if (names.empty()) {
-        return done();
-    }
-    for (const auto &it : names) {
-        release(it, "", [remaining, done] {
-            if (--*remaining == 0) {
-                done();
-            }
-        });
+    m_stopped = std::move(done);
+    for (const auto &it : held()) {
+        release(it, "");
     }
+    reportStopped();
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -90,7 +90,8 @@
     const ShardOwnerInfo *owner(const std::string &shard) const;
     /// Gives up the shard without releasing it, e.g. because another owner has been detected.
     void loseShard(const std::string &shard, const std::string &reason);
-    /// Releases all shards and stops claiming; `done` runs when every release has been answered or has timed out.
+    /// Releases all shards, also those whose claim is in flight, and stops claiming. `done` runs when every release has been applied, or
+    /// can't come before the lease ends.
     void stop(std::function<void()> done);
     std::set<std::string> held() const;
     /// Shards that other entries hold with an unexpired lease.
@@ -150,7 +151,10 @@
     void claim(const std::string &name);
     void onClaimed(const std::string &name, const std::string &nonce, bool handedOver, const CommitResult &result);
     void renew(const std::string &name);
-    void release(const std::string &name, const std::string &successor, std::function<void()> done);
+    void release(const std::string &name, const std::string &successor);
+    void sendRelease(const std::string &name, const RowTransaction &tx, Millis retryUntil);
+    /// Runs the callback of `stop` once no claim and no release is in flight.
+    void reportStopped();
 
     StorePort m_store;
     TimerPort m_timers;
@@ -165,6 +169,9 @@
     /// The claim feed was followed from its first change, so that a shard without a claim row has never been claimed.
     bool m_claimHistoryComplete = false;
     bool m_stopping = false;
+    /// Callback of `stop`; null before `stop` and after it has run.
+    std::function<void()> m_stopped;
+    int m_releasesInFlight = 0;
     Millis m_lastAnswerAt;
     /// The store's clock according to the last answered poll, and the boot time at which that poll was sent.
     Millis m_storeClock;
--- a/tests/unit/leases_test.cpp
+++ b/tests/unit/leases_test.cpp
@@ -89,3 +89,42 @@
     entries.loop.advance(LeaseTimes{}.leaseDuration * 2);
     CHECK_FALSE(entries.ownerOf("a").empty());
 }
+
+TEST_CASE("a stopping entry releases its shards although the store refuses at first")
+{
+    Entries entries;
+    entries.start("first", 0.25, {"a"});
+    entries.loop.advance({2'000});
+    REQUIRE(entries.ownerOf("a") == "first");
+    entries.start("second", 0.25, {"a"});
+    entries.loop.advance({1'000});
+    bool released = false;
+    entries.store.refusing = true;
+    entries.leases["first"]->stop([&] { released = true; });
+    entries.loop.advance({100});
+    CHECK(!released);
+    entries.store.refusing = false;
+    entries.loop.advance({700});
+    CHECK(released);
+    CHECK(entries.ownerOf("a") == "second");
+}
+
+TEST_CASE("a stopping entry leaves no shard behind, whether its claim was in flight or not")
+{
+    constexpr Millis longestDelay{1'000};
+    for (Millis delay; delay < longestDelay; delay = delay + Millis{25}) {
+        Entries entries;
+        entries.store.latency = {50};
+        entries.start("first", 0.25, {"a"});
+        entries.loop.advance(delay);
+        bool released = false;
+        entries.leases["first"]->stop([&] { released = true; });
+        entries.loop.advance({200});
+        INFO("stopped after " << delay.count << " ms");
+        CHECK(released);
+        entries.store.latency = {4};
+        entries.start("second", 0.25, {"a"});
+        entries.loop.advance({1'000});
+        CHECK(entries.ownerOf("a") == "second");
+    }
+}
