Write the last answers of a stopping entry although its loop is late

Change: the process ends when no request lacks its response. After the end of its time it waits for clients that do not take their answer, but not into the last 0.3 s before SIGKILL, and always runs one more round after the last answers were given.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,6 +26,8 @@
 constexpr Millis shutdownReserve{700};
 /// Part of the shutdown grace period, before the reserve, in which calls are no longer served and the last answers are sent.
 constexpr Millis lastAnswersTime{300};
+/// Part of the reserve that is left to the exit when some client does not take its answer.
+constexpr Millis exitTime{300};
 constexpr Millis peerTimeout{600};
 /// All entries share the 64 connections that a worker accepts. The owner needs one for the renewal request and a few
 /// for orders.
@@ -85,6 +87,10 @@
     std::unique_ptr<HttpServer> m_metricsServer;
     bool m_stopping = false;
     bool m_shardsReleased = false;
+    /// Boot clock: when the process ends although shards are not released.
+    Millis m_stopsAt;
+    /// All answers have been given and the time for sending them is over.
+    bool m_lastRound = false;
 };
 
 Node::Node(EventLoop &loop, const EntrySettings &settings, std::string settingsPath)
@@ -343,17 +349,12 @@
     logEvent(LogLevel::Info, "stopping", {{"calls_in_flight", m_intake.inFlight()}, {"shards", m_host.leases().held().size()}});
     m_host.stop([this] { m_shardsReleased = true; });
     const auto grace = m_settings.stopGrace - shutdownReserve;
-    m_intake.stopBy(m_clock.boot() + grace - lastAnswersTime);
+    m_stopsAt = m_clock.boot() + grace;
+    m_intake.stopBy(m_stopsAt - lastAnswersTime);
     m_loop.timers().after(std::min(loadBalancerDelay, grace - lastAnswersTime), [this] {
         m_callerServer->closeConnectionsAfterResponse();
         waitForCalls();
     });
-    m_loop.timers().after(grace, [this] {
-        logEvent(LogLevel::Warn,
-                 "stop_grace_over",
-                 {{"calls_in_flight", m_intake.inFlight()}, {"open_requests", openRequests()}, {"shards_released", m_shardsReleased}});
-        m_loop.stop();
-    });
 }
 
 std::size_t Node::openRequests() const
@@ -364,11 +365,18 @@
 
 void Node::waitForCalls()
 {
-    if (m_shardsReleased && openRequests() == 0) {
-        logEvent(LogLevel::Info, "stopped");
+    const auto now = m_clock.boot();
+    if (openRequests() == 0 && (m_shardsReleased || now >= m_stopsAt)) {
+        logEvent(LogLevel::Info, "stopped", {{"shards_released", m_shardsReleased}});
+        return m_loop.stop();
+    }
+    if (m_lastRound) {
+        logEvent(LogLevel::Warn, "stop_grace_over", {{"calls_in_flight", m_intake.inFlight()}, {"open_requests", openRequests()}});
         return m_loop.stop();
     }
-    m_loop.timers().after(stopPollInterval, [this] { waitForCalls(); });
+    // Answers are written in the round after they were given, also when that round comes late.
+    m_lastRound = now >= m_stopsAt + shutdownReserve - exitTime;
+    m_loop.timers().after(m_lastRound ? Millis{0} : stopPollInterval, [this] { waitForCalls(); });
 }
 
 } // namespace
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -2,6 +2,8 @@
 #include "process/platformentries.hpp"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
 
 using namespace hibiscusbridge;
 
@@ -49,3 +51,21 @@
     CHECK(unanswered(submissions).empty());
     CHECK(storedThoughRefused(submissions, system.controlStore(nlohmann::json::object())).empty());
 }
+
+TEST_CASE("a planned stop answers every request that was read, although the process is late at the end of its grace period")
+{
+    constexpr Millis pauseAfter{4'800};
+    constexpr Millis pause{700};
+    PlatformEntries system(1);
+    KeepAliveCallers callers(system.entries, callersPerEntry);
+    REQUIRE(waitFor([&] { return callers.count() > callersPerEntry; }, {5'000}));
+    system.controlStore({{"silentTables", "jobs-"}});
+    const auto &process = *system.entries[0].process;
+    process.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(pauseAfter.count));
+    process.signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(pause.count));
+    process.signal(SIGCONT);
+    CHECK(system.entries[0].process->waitExit(stopGrace) == 0);
+    CHECK(unanswered(callers.finish()).empty());
+}
