Leave no shard of an entry to its lease that the entry could release

The review of the release found three more ways by which a planned stop or hand-over left a shard without an owner for a whole lease, or undid it: a claim that was applied without an answer belonged to the stopping entry, which did not hold it; a refused release let the entry claim the shard that it was handing over again, by its own row; a claim that was answered after the configuration had dropped the shard was kept.

Change: while a release is pending the shard is not claimed; a stopping entry also releases shards that a claim row assigns to it; a claim of a shard that is not wanted any more is released. The log tells a release that was applied without an answer from one that was superseded.

--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -287,6 +287,9 @@
     shard.owner.fence = row.version;
     shard.owner.changedAt = m_clock.boot();
     shard.claimAt = {};
+    if (m_stopping && !shard.held) {
+        releaseOwnRow(row.key.part, shard);
+    }
 }
 
 void Leases::onRenewalRow(const Row &row)
@@ -310,7 +313,8 @@
 /// Schedules a claim if the shard is vacant or its lease has expired.
 void Leases::evaluateClaim(const std::string &name, Shard &shard)
 {
-    if (!m_claimsRead || !(m_claimHistoryComplete || shard.read) || !shard.wanted || shard.held || shard.claiming || m_stopping) {
+    if (!m_claimsRead || !(m_claimHistoryComplete || shard.read) || !shard.wanted || shard.held || shard.claiming || shard.releasing
+        || m_stopping) {
         return;
     }
     const auto now = m_clock.boot();
@@ -352,7 +356,7 @@
             return;
         }
         auto &it = m_shards[name];
-        if (it.claimAt != due || it.held || it.claiming || m_stopping || !it.wanted) {
+        if (it.claimAt != due || it.held || it.claiming || it.releasing || m_stopping || !it.wanted) {
             return;
         }
         // The delay grows if this entry has claimed another shard in the meantime.
@@ -405,9 +409,12 @@
         if (result.outcome == CommitOutcome::Unknown) {
             logEvent(LogLevel::Warn, "claim_unknown", {{"shard", name}, {"error", result.error}});
         }
-        return reportStopped();
+        if (m_stopping) {
+            releaseOwnRow(name, shard);
+        }
+        return finishStop();
     }
-    if (m_stopping) {
+    if (m_stopping || !shard.wanted) {
         const RowCondition claim{{claimTable, name, rowName}, result.version};
         return sendRelease(name, releaseOf(claim, ""), m_clock.boot() + m_times.leaseDuration);
     }
@@ -500,34 +507,34 @@
 
 void Leases::sendRelease(const std::string &name, const RowTransaction &tx, Millis retryUntil)
 {
-    ++m_releasesInFlight;
+    m_shards[name].releasing = true;
     m_store.commit(tx, m_times.callTimeout, [this, alive = m_alive, name, tx, retryUntil](const CommitResult &result) {
         if (!*alive) {
             return;
         }
-        --m_releasesInFlight;
-        // On a conflict an earlier attempt was applied, or another entry holds the shard.
         const bool undecided = result.outcome == CommitOutcome::Refused || result.outcome == CommitOutcome::Unknown;
         if (undecided && m_clock.boot() + retryDelay < retryUntil) {
-            ++m_releasesInFlight;
             return m_timers.after(retryDelay, [this, alive, name, tx, retryUntil] {
                 if (*alive) {
-                    --m_releasesInFlight;
                     sendRelease(name, tx, retryUntil);
                 }
             });
         }
-        logEvent(LogLevel::Info,
-                 "shard_released",
-                 {{"shard", name}, {"applied", result.outcome == CommitOutcome::Applied}, {"error", result.error}});
-        reportStopped();
+        // On a conflict with its own row, an earlier attempt without an answer was applied.
+        const bool applied =
+            result.outcome == CommitOutcome::Applied || (!result.current.empty() && result.current.front().value == tx.puts.front().value);
+        logEvent(LogLevel::Info, "shard_released", {{"shard", name}, {"applied", applied}, {"error", result.error}});
+        m_shards[name].releasing = false;
+        evaluateClaims();
+        finishStop();
     });
 }
 
-void Leases::reportStopped()
+void Leases::finishStop()
 {
-    const bool claiming = std::any_of(m_shards.begin(), m_shards.end(), [](const auto &it) { return it.second.claiming; });
-    if (m_stopped && !claiming && m_releasesInFlight == 0) {
+    const bool pending =
+        std::any_of(m_shards.begin(), m_shards.end(), [](const auto &it) { return it.second.claiming || it.second.releasing; });
+    if (m_stopped && !pending) {
         std::exchange(m_stopped, nullptr)();
     }
 }
@@ -556,10 +563,22 @@
 {
     m_stopping = true;
     m_stopped = std::move(done);
-    for (const auto &it : held()) {
-        release(it, "");
+    for (auto &[name, shard] : m_shards) {
+        if (shard.held) {
+            release(name, "");
+        } else {
+            releaseOwnRow(name, shard);
+        }
+    }
+    finishStop();
+}
+
+/// Releases a shard that a claim row assigns to this entry although it does not hold it: a claim without an answer was applied.
+void Leases::releaseOwnRow(const std::string &name, const Shard &shard)
+{
+    if (shard.known && !shard.claiming && !shard.releasing && shard.owner.holder == m_self.name) {
+        sendRelease(name, releaseOf(condition(name), ""), m_clock.boot() + m_times.leaseDuration);
     }
-    reportStopped();
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -90,8 +90,8 @@
     const ShardOwnerInfo *owner(const std::string &shard) const;
     /// Gives up the shard without releasing it, e.g. because another owner has been detected.
     void loseShard(const std::string &shard, const std::string &reason);
-    /// Releases all shards, also those whose claim is in flight, and stops claiming. `done` runs when every release has been applied, or
-    /// can't come before the lease ends.
+    /// Stops claiming and releases all shards, also those whose claim is in flight. `done` runs when no claim is in flight and each release
+    /// was applied, was superseded, or was given up after a lease duration.
     void stop(std::function<void()> done);
     std::set<std::string> held() const;
     /// Shards that other entries hold with an unexpired lease.
@@ -128,6 +128,8 @@
         // Used while this entry is the owner:
         bool held = false;
         bool renewing = false;
+        /// A release is in flight or waits for its next attempt; the shard is not claimed meanwhile.
+        bool releasing = false;
         Millis renewedAt; ///< when the last successful renewal was sent
         Millis claimSentAt;
         // Used while this entry is a candidate:
@@ -153,8 +155,9 @@
     void renew(const std::string &name);
     void release(const std::string &name, const std::string &successor);
     void sendRelease(const std::string &name, const RowTransaction &tx, Millis retryUntil);
-    /// Runs the callback of `stop` once no claim and no release is in flight.
-    void reportStopped();
+    /// Runs the callback of `stop` if no claim is in flight and no release is pending.
+    void finishStop();
+    void releaseOwnRow(const std::string &name, const Shard &shard);
 
     StorePort m_store;
     TimerPort m_timers;
@@ -171,7 +174,6 @@
     bool m_stopping = false;
     /// Callback of `stop`; null before `stop` and after it has run.
     std::function<void()> m_stopped;
-    int m_releasesInFlight = 0;
     Millis m_lastAnswerAt;
     /// The store's clock according to the last answered poll, and the boot time at which that poll was sent.
     Millis m_storeClock;
--- a/tests/unit/leases_test.cpp
+++ b/tests/unit/leases_test.cpp
@@ -128,3 +128,53 @@
         CHECK(entries.ownerOf("a") == "second");
     }
 }
+
+TEST_CASE("a stopping entry releases a shard although its claim was applied without an answer")
+{
+    Entries entries;
+    entries.store.loseResponseEvery = 1;
+    entries.store.loss = FakeStore::Loss::Applied;
+    entries.start("first", 0.25, {"a"});
+    entries.loop.advance({700});
+    entries.leases["first"]->stop([] {});
+    entries.store.loseResponseEvery = 0;
+    entries.loop.advance({1'500});
+    entries.start("second", 0.25, {"a"});
+    entries.loop.advance({1'000});
+    CHECK(entries.ownerOf("a") == "second");
+}
+
+TEST_CASE("a shard is handed over although the store refuses the release at first")
+{
+    constexpr Millis longestRefusal{700};
+    for (Millis refusal{25}; refusal < longestRefusal; refusal = refusal + Millis{25}) {
+        Entries entries;
+        entries.start("first", 0.25, {"a"});
+        entries.loop.advance({1'000});
+        entries.start("second", 0.25, {"a"});
+        entries.loop.advance({1'000});
+        REQUIRE(entries.ownerOf("a") == "first");
+        entries.store.refusing = true;
+        entries.leases["first"]->handOver("a", "second");
+        entries.loop.advance(refusal);
+        entries.store.refusing = false;
+        entries.loop.advance({1'000});
+        INFO("the store refused for " << refusal.count << " ms");
+        CHECK(entries.ownerOf("a") == "second");
+    }
+}
+
+TEST_CASE("a claim that is answered after its shard was removed is released")
+{
+    constexpr Millis longestDelay{1'000};
+    for (Millis delay; delay < longestDelay; delay = delay + Millis{25}) {
+        Entries entries;
+        entries.store.latency = {50};
+        entries.start("first", 0.25, {"a"});
+        entries.loop.advance(delay);
+        entries.leases["first"]->setShards({});
+        entries.loop.advance({2'000});
+        INFO("removed after " << delay.count << " ms");
+        CHECK(entries.ownerOf("a").empty());
+    }
+}
