Write submissions that arrive together in one transaction, and back off from an overloaded store

Callers got 504 or 503 for most submissions of a pool for many seconds, and renewals and releases of other shards were refused with 429 beside them: an entry sent one transaction a submission and cancellation, gave up each after 0.9 s and sent it again 60 ms later. A part of the store handles 250 transactions a second, lets them wait for up to 1 s and then answers 429, so that more submissions than that turned into unknown outcomes, and their repetitions kept the part full.

SubmissionWriter sends one transaction at a time to a part; writes that arrive meanwhile share the next. A second transaction goes beside one that has had no answer for 300 ms, so that a silent connection doesn't hold back the others. After a refusal or a missing answer the entry waits for 60 to 500 ms, with jitter. The time-out of 1.2 s lies above what a part makes a transaction wait. Writes without an answer are repeated without the others and stay unknown; the others can still be refused truthfully, at once if they can't be served in time. Cancellations go the same way. The load on a part now depends on the number of entries, not of submissions.

The job cluster of the tests ran the intake's timers while its entry was frozen; a frozen process runs none, so they are now held like all others.

--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -12,7 +12,6 @@
 
 /// Part of the caller's timeout that is reserved for sending the response.
 constexpr Millis answerMargin{300};
-constexpr Millis storeTimeout{900};
 constexpr Millis readTimeout{900};
 constexpr Millis retryDelay{60};
 /// A write rejected by the store is retried for this long before the caller gets a refusal with a retry delay.
@@ -34,12 +33,18 @@
 
 Intake::Intake(Ports ports)
     : m_ports(std::move(ports))
+    , m_writer({.store = m_ports.store, .timers = m_ports.timers, .clock = m_ports.clock})
 {
 }
 
 Intake::~Intake()
 {
     *m_alive = false;
+    for (const auto &it : m_calls) {
+        if (it->write) {
+            SubmissionWriter::withdraw(*it->write); // Its callback holds the call.
+        }
+    }
 }
 
 void Intake::handle(Call call, Done done)
@@ -86,8 +91,6 @@
     auto attempt = std::make_shared<Attempt>();
     attempt->shard = shards.front();
     attempt->otherShards.assign(shards.begin() + 1, shards.end());
-    attempt->id = id;
-    attempt->startedAt = m_ports.clock.boot();
     attempt->deadline = answerDeadline(call.callerTimeout);
     attempt->call = open;
     cancel(attempt);
@@ -104,6 +107,9 @@
     if (m_calls.erase(call) == 0) {
         return; // Answered when the entry stopped.
     }
+    if (call->write) {
+        SubmissionWriter::withdraw(*call->write);
+    }
     const auto done = std::exchange(call->done, nullptr);
     done(std::move(answer));
 }
@@ -121,9 +127,10 @@
 void Intake::answerOpenCalls()
 {
     for (const auto &it : std::set<OpenCallPtr>(m_calls)) {
-        logEvent(LogLevel::Warn, "call_given_up", {{"job", it->id}, {"may_be_applied", it->mayBeApplied}, {"reason", "stopping"}});
+        const bool mayBeApplied = it->write && it->write->mayBeApplied();
+        logEvent(LogLevel::Warn, "call_given_up", {{"job", it->id}, {"may_be_applied", mayBeApplied}, {"reason", "stopping"}});
         answer(it,
-               {.kind = it->mayBeApplied ? AnswerKind::Unknown : AnswerKind::Refused,
+               {.kind = mayBeApplied ? AnswerKind::Unknown : AnswerKind::Refused,
                 .retryAfter = stopRetryAfter,
                 .reason = "this entry is stopping"});
     }
@@ -148,14 +155,33 @@
                  {{"job", open->id}, {"route", queue.name}, {"reason", admission.reason}, {"retry_after_ms", admission.retryAfter.count}});
         return answer(open, {.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
     }
-    auto attempt = std::make_shared<Attempt>();
-    attempt->shard = isLongRunning(spec) ? shards.back() : shards.front();
-    attempt->id = open->id;
-    attempt->value = encodeSpec(spec);
-    attempt->startedAt = m_ports.clock.boot();
-    attempt->deadline = answerDeadline(call.callerTimeout);
-    attempt->call = open;
-    tryStore(std::move(attempt));
+    const auto &shard = isLongRunning(spec) ? shards.back() : shards.front();
+    const auto now = m_ports.clock.boot();
+    open->write = std::make_shared<SubmissionWrite>(SubmissionWrite{.key = submissionKey(shard, open->id),
+                                                                    .value = encodeSpec(spec),
+                                                                    .deadline = answerDeadline(call.callerTimeout),
+                                                                    .retryUntil = now + refusalRetryTime});
+    open->write->done = [this, open, shard, now](const WriteResult &result) {
+        if (result.outcome == WriteOutcome::Stored || result.outcome == WriteOutcome::KnownBefore) {
+            logEvent(LogLevel::Info,
+                     "job_accepted",
+                     {{"job", open->id},
+                      {"shard", shard},
+                      {"known_before", result.outcome == WriteOutcome::KnownBefore},
+                      {"version", result.version},
+                      {"store_ms", (m_ports.clock.boot() - now).count}});
+            return answer(open, {.kind = AnswerKind::Done});
+        }
+        const bool isUnknown = result.outcome == WriteOutcome::Unknown;
+        logEvent(LogLevel::Warn,
+                 isUnknown ? "job_outcome_unknown" : "job_refused",
+                 {{"job", open->id}, {"shard", shard}, {"reason", result.error}});
+        answer(open,
+               {.kind = isUnknown ? AnswerKind::Unknown : AnswerKind::Refused,
+                .retryAfter = storeRetryAfter,
+                .reason = "the store did not confirm the job"});
+    };
+    m_writer.add(open->write);
 }
 
 void Intake::retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>))
@@ -167,52 +193,6 @@
     });
 }
 
-void Intake::tryStore(std::shared_ptr<Attempt> attempt)
-{
-    const auto now = m_ports.clock.boot();
-    RowTransaction tx;
-    const auto key = submissionKey(attempt->shard, attempt->id);
-    tx.conditions.push_back({key, 0});
-    tx.puts.push_back({key, attempt->value});
-    const auto timeout = std::min(storeTimeout, std::max(attempt->deadline - now, Millis{100}));
-    attempt->call->mayBeApplied = true;
-    m_ports.store.commit(std::move(tx), timeout, [this, alive = m_alive, attempt, now](const CommitResult &result) {
-        if (!*alive) {
-            return;
-        }
-        const auto elapsed = (m_ports.clock.boot() - now).count;
-        if (result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict) {
-            const bool known = result.outcome == CommitOutcome::Conflict;
-            logEvent(LogLevel::Info,
-                     "job_accepted",
-                     {{"job", attempt->id},
-                      {"shard", attempt->shard},
-                      {"known_before", known},
-                      {"version", result.version},
-                      {"store_ms", elapsed}});
-            return answer(attempt->call, {.kind = AnswerKind::Done});
-        }
-        if (!attempt->call->done) {
-            return; // Answered when the entry stopped.
-        }
-        attempt->uncertain = attempt->uncertain || result.outcome == CommitOutcome::Unknown;
-        attempt->call->mayBeApplied = attempt->uncertain;
-        if (!attempt->uncertain) {
-            attempt->deadline = std::min(attempt->deadline, attempt->startedAt + refusalRetryTime);
-        }
-        if (m_ports.clock.boot() >= attempt->deadline) {
-            logEvent(LogLevel::Warn,
-                     attempt->uncertain ? "job_outcome_unknown" : "job_refused",
-                     {{"job", attempt->id}, {"shard", attempt->shard}, {"reason", "store: " + result.error}});
-            return answer(attempt->call,
-                          {.kind = attempt->uncertain ? AnswerKind::Unknown : AnswerKind::Refused,
-                           .retryAfter = storeRetryAfter,
-                           .reason = "the store did not confirm the job"});
-        }
-        retryLater(attempt, &Intake::tryStore);
-    });
-}
-
 void Intake::readState(std::vector<std::string> shards, const OpenCallPtr &call)
 {
     const auto shard = shards.front();
@@ -262,7 +242,7 @@
 
 void Intake::cancel(std::shared_ptr<Attempt> attempt)
 {
-    const auto key = submissionKey(attempt->shard, attempt->id);
+    const auto key = submissionKey(attempt->shard, attempt->call->id);
     m_ports.store.read(
         {key.table, key.part, key.key, key.key + '\x01', 1}, readTimeout, [this, alive = m_alive, attempt](const ReadResult &result) {
             if (!*alive || !attempt->call->done) {
@@ -272,12 +252,12 @@
                 if (m_ports.clock.boot() < attempt->deadline) {
                     return retryLater(attempt, &Intake::cancel);
                 }
-                logEvent(LogLevel::Warn, "cancel_refused", {{"job", attempt->id}, {"reason", "store: " + result.error}});
+                logEvent(LogLevel::Warn, "cancel_refused", {{"job", attempt->call->id}, {"reason", "store: " + result.error}});
                 return answer(attempt->call,
                               {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
             }
             if (!result.rows.empty()) {
-                return tryCancel(attempt);
+                return storeCancellation(attempt);
             }
             if (attempt->otherShards.empty()) {
                 return answer(attempt->call, {.kind = AnswerKind::NoJob, .reason = "no such job"});
@@ -288,28 +268,24 @@
         });
 }
 
-void Intake::tryCancel(std::shared_ptr<Attempt> attempt)
+void Intake::storeCancellation(const std::shared_ptr<Attempt> &attempt)
 {
-    RowTransaction tx;
-    tx.puts.push_back({cancellationKey(attempt->shard, attempt->id), "1"});
-    attempt->call->mayBeApplied = true;
-    m_ports.store.commit(std::move(tx), storeTimeout, [this, alive = m_alive, attempt](const CommitResult &result) {
-        if (!*alive) {
-            return;
-        }
-        if (result.outcome == CommitOutcome::Applied) {
-            logEvent(LogLevel::Info, "cancel_accepted", {{"job", attempt->id}, {"shard", attempt->shard}, {"version", result.version}});
-            return answer(attempt->call, {.kind = AnswerKind::Done});
-        }
-        if (!attempt->call->done) {
-            return;
+    const auto &call = attempt->call;
+    call->write = std::make_shared<SubmissionWrite>(SubmissionWrite{
+        .key = cancellationKey(attempt->shard, call->id), .value = "1", .deadline = attempt->deadline, .retryUntil = attempt->deadline});
+    call->write->done = [this, call, shard = attempt->shard](const WriteResult &result) {
+        if (result.outcome == WriteOutcome::Stored || result.outcome == WriteOutcome::KnownBefore) {
+            logEvent(LogLevel::Info, "cancel_accepted", {{"job", call->id}, {"shard", shard}, {"version", result.version}});
+            return answer(call, {.kind = AnswerKind::Done});
         }
-        if (m_ports.clock.boot() < attempt->deadline) {
-            return retryLater(attempt, &Intake::tryCancel);
-        }
-        logEvent(LogLevel::Warn, "cancel_unknown", {{"job", attempt->id}, {"reason", "store: " + result.error}});
-        answer(attempt->call, {.kind = AnswerKind::Unknown, .reason = "the store did not respond"});
-    });
+        const bool isUnknown = result.outcome == WriteOutcome::Unknown;
+        logEvent(LogLevel::Warn, isUnknown ? "cancel_unknown" : "cancel_refused", {{"job", call->id}, {"reason", result.error}});
+        answer(call,
+               {.kind = isUnknown ? AnswerKind::Unknown : AnswerKind::Refused,
+                .retryAfter = storeRetryAfter,
+                .reason = "the store did not confirm the cancellation"});
+    };
+    m_writer.add(call->write);
 }
 
 } // namespace hibiscusbridge::jobs
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -1,7 +1,8 @@
-// Serves the callers' job requests: submits jobs with a single conditional write, reads their state, cancels them and reports
-// queue lengths.
+// Serves the callers' job requests: submits jobs with a conditional write each, reads their state, cancels them and reports queue
+// lengths.
 #pragma once
 
+#include "intake/submissionwriter.hpp"
 #include "model/queues.hpp"
 #include "ports/store.hpp"
 #include "ports/timer.hpp"
@@ -100,22 +101,17 @@
     /// A call that waits for the store. Answered once; nothing is sent to the store for it afterwards.
     struct OpenCall {
         std::string id;
-        /// A write of this call has been sent, and the store has not said that it was not applied.
-        bool mayBeApplied = false;
+        SubmissionWritePtr write; ///< null until the call writes
         Done done; ///< null once the call has been answered
     };
     using OpenCallPtr = std::shared_ptr<OpenCall>;
 
+    /// A cancellation that looks for its job.
     struct Attempt {
         std::string shard;
-        /// Shards in which the job is looked for after `shard`; only used by cancellations.
+        /// Shards in which the job is looked for after `shard`.
         std::vector<std::string> otherShards;
-        std::string id;
-        std::string value;
-        Millis startedAt;
         Millis deadline;
-        /// An earlier write was not acknowledged and may still be applied.
-        bool uncertain = false;
         OpenCallPtr call;
     };
 
@@ -124,14 +120,14 @@
     Millis answerDeadline(Millis callerTimeout) const;
     void answer(const OpenCallPtr &call, Answer answer);
     void answerOpenCalls();
-    void tryStore(std::shared_ptr<Attempt> attempt);
     /// Reads the job's state from the first of the shards that has it.
     void readState(std::vector<std::string> shards, const OpenCallPtr &call);
     void cancel(std::shared_ptr<Attempt> attempt);
-    void tryCancel(std::shared_ptr<Attempt> attempt);
+    void storeCancellation(const std::shared_ptr<Attempt> &attempt);
     void retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>));
 
     Ports m_ports;
+    SubmissionWriter m_writer;
     std::set<OpenCallPtr> m_calls;
     /// Boot clock: when the entry stops answering calls.
     std::optional<Millis> m_stopsAt;
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -1,7 +1,9 @@
 // In-memory implementation of the platform's store.
 #include "fakes/fakestore.hpp"
 
+#include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace hibiscusbridge::jobs
 {
@@ -56,6 +58,38 @@
     return result;
 }
 
+bool FakeStore::isWithinRate()
+{
+    const Millis second{m_loop.now().count / 1'000};
+    if (m_rateSecond != second) {
+        m_rateSecond = second;
+        m_writesInSecond = 0;
+    }
+    return writesPerSecond == 0 || ++m_writesInSecond <= writesPerSecond;
+}
+
+void FakeStore::enqueue(const RowTransaction &tx, Millis timeout, const std::function<void(CommitResult)> &done)
+{
+    auto &busyUntil = m_partBusyUntil[tx.puts.empty() ? std::string() : tx.puts.front().key.part];
+    busyUntil = std::max(busyUntil, m_loop.now());
+    if (busyUntil - m_loop.now() > maxPartWait) {
+        return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 429"});
+    }
+    busyUntil = busyUntil + transactionTime;
+    const auto answered = std::make_shared<bool>(false);
+    m_loop.timers().after(busyUntil - m_loop.now(), [this, tx, answered, done] {
+        auto result = apply(tx);
+        if (!std::exchange(*answered, true)) {
+            done(std::move(result));
+        }
+    });
+    m_loop.timers().after(timeout, [answered, done] {
+        if (!std::exchange(*answered, true)) {
+            done({.error = "no response"});
+        }
+    });
+}
+
 ReadResult FakeStore::readNow(const RowRange &range) const
 {
     ReadResult result{.outcome = ReadOutcome::Answered, .version = m_version, .storeClock = m_loop.now()};
@@ -119,6 +153,12 @@
             if (refusing) {
                 return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 503"});
             }
+            if (!isWithinRate()) {
+                return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 429"});
+            }
+            if (transactionTime.count > 0) {
+                return enqueue(tx, timeout, done);
+            }
             const bool lost = loseResponseEvery > 0 && ++transactions % loseResponseEvery == 0 && loss != Loss::None;
             if (!lost) {
                 return done(apply(tx));
--- a/tests/fakes/fakestore.hpp
+++ b/tests/fakes/fakestore.hpp
@@ -56,6 +56,12 @@
     /// Delay of a transaction under Loss::AppliedLater.
     Millis applyDelay{2'500};
     int transactions = 0;
+    /// Time that a part takes for one transaction; it handles them one after another and rejects a transaction that would wait
+    /// for longer than `maxPartWait`. 0 disables the queue.
+    Millis transactionTime{0};
+    Millis maxPartWait{1'000};
+    /// Transactions of all clients in one second; further ones are rejected. 0 disables the limit.
+    int writesPerSecond = 0;
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>;
@@ -66,6 +72,9 @@
     };
 
     CommitResult apply(const RowTransaction &tx);
+    bool isWithinRate();
+    /// Applies the transaction when its part comes to it.
+    void enqueue(const RowTransaction &tx, Millis timeout, const std::function<void(CommitResult)> &done);
     ReadResult readNow(const RowRange &range) const;
     void feed(const std::string &client,
               const std::string &table,
@@ -82,6 +91,10 @@
     std::map<Key, Stored> m_rows;
     std::uint64_t m_version = 0;
     std::uint64_t m_historyFrom = 0;
+    /// When each part has handled all transactions that it has taken.
+    std::map<std::string, Millis> m_partBusyUntil;
+    Millis m_rateSecond;
+    int m_writesInSecond = 0;
 };
 
 } // namespace hibiscusbridge::jobs
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -210,7 +210,7 @@
     auto *const host = entry.host.get();
     entry.intake = std::make_unique<Intake>(
         Intake::Ports{.store = storeOf(name),
-                      .timers = loop.timers(),
+                      .timers = timersOf(name),
                       .clock = loop.clock(),
                       .configuration = [host] { return host->configuration(); },
                       .queuedJobs = [host](const Queue &queue) { return host->queuedJobs(queue); },
