--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -623,6 +623,8 @@
               {"worker", order.worker.id},
               {"outcome", nameOf(result.outcome)},
               {"attempt", run->attempts},
+              {"placed_ms_ago", (now - run->placedAt).count},
+              {"sent_ms_ago", (now - run->lastOrderAt).count},
               {"error", result.error}});
     if (!isRefusal(result.outcome)) {
         return;
