Check the grounds of a start right before it is sent

The store acknowledged at 9.008 s that a worker drains, its owner logged it at 10.123 s, and starts reached it at 12.309 and 12.518 s.

Cause: a placement was checked when it was made and, before it was sent, only against the worker's capacity. In between it waited for the commit of its record, and then for a connection. The same log shows runs that were still not part of a transaction 2.2, 2.7 and 3.2 s after their placement, without a failed commit: the changed rows queued behind each other at a busy part of the store. Starts without an answer time out after 0.7 s, so a connection alone does not explain the delay.

A start is now withdrawn while it waits, and refused when its first byte is about to be sent, if its worker is gone, unreachable, restarted or draining, its VM is cordoned, its capacity no longer holds it, or the fencing token was raised since. Its subtask is placed anew at once, since a run that was not sent can't be on the worker. The same cause also let

- members of a gang start although another member's worker had become unreachable before the commit; a withdrawn member now takes its gang along,
- a run that was placed before its worker restarted go to the new incarnation, which may be of another kind.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -52,16 +52,7 @@
             }
         }
     }
-    for (auto &[id, worker] : m_workers) {
-        if (isReachable(*worker)) {
-            continue;
-        }
-        for (Run *const it : std::vector<Run *>(worker->runs)) {
-            if (it->phase == RunPhase::Placed) {
-                dropRun(*it, now, "worker-unheard");
-            }
-        }
-    }
+    withdrawUnstartable(now);
     std::erase_if(m_workers, [](const auto &it) { return !it.second->registered && it.second->runs.empty(); });
 }
 
@@ -586,8 +577,7 @@
     return order;
 }
 
-/// True if no start of the run was sent, so that it can't be on its worker.
-static bool isUnsent(const Run &run)
+bool isUnsent(const Run &run)
 {
     return run.phase == RunPhase::Placed || run.phase == RunPhase::Committing || (run.phase == RunPhase::Starting && run.unsent);
 }
@@ -607,15 +597,55 @@
     return fits(used, run.worker->entry.capacity);
 }
 
-bool Pool::mayStart(const Run &run) const
+const char *Pool::workerObstacle(const Run &run, Millis now)
+{
+    const auto &worker = *run.worker;
+    if (!worker.registered) {
+        return "worker-gone";
+    }
+    if (!worker.synced || worker.misses > 0) {
+        return "worker-unheard";
+    }
+    if (run.incarnationStart != worker.incarnationStart) {
+        return "worker-reborn";
+    }
+    if (worker.entry.draining) {
+        return "worker-draining";
+    }
+    // A long-running subtask may return to a cordoned VM that still has others.
+    const bool mayReturn = stepOf(run).longRunning && std::any_of(worker.runs.begin(), worker.runs.end(), [&run](const Run *it) {
+                               return it != &run && stepOf(*it).longRunning && !it->stopRequested;
+                           });
+    return worker.cordonedUntil > now && !mayReturn ? "vm-cordoned" : nullptr;
+}
+
+const char *Pool::startObstacle(const Run &run, Millis now) const
 {
+    const auto obstacleOf = [this, now](const Run &it) {
+        const char *const obstacle = workerObstacle(it, now);
+        return obstacle || fitsOnWorker(it) ? obstacle : "capacity-shrunk";
+    };
     if (!stepOf(run).gang) {
-        return fitsOnWorker(run);
+        return obstacleOf(run);
     }
-    const auto &members = run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)];
-    return std::all_of(members.begin(), members.end(), [this](const Subtask &member) {
-        return std::all_of(member.runs.begin(), member.runs.end(), [this](const auto &it) { return !isUnsent(*it) || fitsOnWorker(*it); });
-    });
+    for (const auto &member : run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)]) {
+        for (const auto &it : member.runs) {
+            if (const char *const obstacle = isUnsent(*it) ? obstacleOf(*it) : nullptr) {
+                return obstacle;
+            }
+        }
+    }
+    return nullptr;
+}
+
+bool Pool::mayStillSend(const StartOrder &order, Millis now) const
+{
+    const auto worker = m_workers.find(order.worker.id);
+    if (worker == m_workers.end() || order.fence != fenceAt(order.worker.id)) {
+        return false;
+    }
+    const Run *const run = findRun(*worker->second, order.subtask, order.run);
+    return run && !run->stopRequested && !workerObstacle(*run, now) && fitsOnWorker(*run);
 }
 
 void Pool::withdraw(Run &run, Millis now, const char *reason)
@@ -636,17 +666,23 @@
     }
 }
 
-/// Withdraws committed runs that were not sent and no longer fit on their workers.
 void Pool::withdrawUnstartable(Millis now)
 {
     for (auto &[id, worker] : m_workers) {
-        const auto findUnstartable = [&runs = worker->runs, this] {
-            return std::find_if(runs.begin(), runs.end(), [this](const Run *it) {
-                return it->phase == RunPhase::Starting && it->unsent && !it->stopRequested && !mayStart(*it);
+        const char *obstacle = nullptr;
+        const auto findUnstartable = [&runs = worker->runs, &obstacle, now, this] {
+            return std::find_if(runs.begin(), runs.end(), [&obstacle, now, this](const Run *it) {
+                obstacle = nullptr;
+                if (it->phase == RunPhase::Placed) {
+                    obstacle = workerObstacle(*it, now);
+                } else if (it->phase == RunPhase::Starting && it->unsent && !it->stopRequested) {
+                    obstacle = startObstacle(*it, now);
+                }
+                return obstacle != nullptr;
             });
         };
         for (auto it = findUnstartable(); it != worker->runs.end(); it = findUnstartable()) {
-            withdraw(**it, now, "capacity-shrunk");
+            withdraw(**it, now, obstacle);
         }
     }
 }
@@ -667,7 +703,7 @@
             run.phase = RunPhase::Starting;
             if (run.stopRequested) {
                 unwanted.push_back(&run);
-            } else if (isReachable(*run.worker) && mayStart(run)) {
+            } else if (!startObstacle(run, now)) {
                 orders.starts.push_back(makeStart(run, now));
             }
         });
@@ -721,8 +757,8 @@
                 }
                 continue;
             }
-            if (it->phase == RunPhase::Starting && it->unsent && isReachable(*worker) && now - it->lastOrderAt >= m_times.resendInterval
-                && mayStart(*it)) {
+            if (it->phase == RunPhase::Starting && it->unsent && now - it->lastOrderAt >= m_times.resendInterval
+                && !startObstacle(*it, now)) {
                 orders.starts.push_back(makeStart(*it, now));
             } else if (it->phase == RunPhase::Running && it->targetSpeedPercent != it->speedPercent && isReachable(*worker)) {
                 it->orderInFlight = true;
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -363,13 +363,13 @@
         if (it->incarnationStart == result.incarnationStart) {
             continue;
         }
-        const bool mayStillStart = it->phase == RunPhase::Starting || it->phase == RunPhase::Placed || it->phase == RunPhase::Committing;
         const bool listed = std::any_of(result.running.begin(), result.running.end(), [&](const RunReport &run) {
             return run.run == it->number && run.subtask == idOf(*it);
         });
-        if (listed || mayStillStart) {
+        if (listed || (it->phase == RunPhase::Starting && !it->unsent)) {
             it->incarnationStart = result.incarnationStart;
-        } else {
+        } else if (!isUnsent(*it)) {
+            // A run that was not sent is withdrawn, with its gang, before the next orders.
             dropRun(*it, now, "worker-reborn");
         }
     }
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -92,6 +92,9 @@
     Resources reserved;
 };
 
+/// True if no start of the run was sent, so that it can't be on its worker.
+bool isUnsent(const Run &run);
+
 struct Subtask {
     bool done = false;
     std::vector<int> failedRuns;
@@ -227,6 +230,8 @@
     void onCommitFailed();
     /// Returns the stops, unsent starts and throttle changes that are due.
     PoolOrders dueOrders(Millis now);
+    /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
+    bool mayStillSend(const StartOrder &order, Millis now) const;
     std::optional<AdviceRequest> nextAdviceRequest(Millis now);
     /// Removes final jobs that ended before `endedBefore` (wall clock) and returns their ids.
     std::vector<std::string> takeExpired(Millis endedBefore, std::size_t limit);
@@ -311,10 +316,13 @@
     Resources unknownLoad(const Worker &worker) const;
     /// True if the worker's present capacity, which may have shrunk since the placement, holds a run that is to start.
     bool fitsOnWorker(const Run &run) const;
-    /// True if the run may be sent; for a member of a gang, if its other members that are to start fit as well.
-    bool mayStart(const Run &run) const;
+    /// Why the worker may not get the run, whose placement may be seconds old, apart from its capacity; nullptr if it may.
+    static const char *workerObstacle(const Run &run, Millis now);
+    /// Why the run may not be sent, for a member of a gang also because of other members that are to start; nullptr if it may.
+    const char *startObstacle(const Run &run, Millis now) const;
     /// Drops a run that is not on its worker. The other members of its gang can't run without it and are dropped or stopped.
     void withdraw(Run &run, Millis now, const char *reason);
+    /// Withdraws the runs that were not sent and that their workers may not get any more.
     void withdrawUnstartable(Millis now);
     bool hasRoomElsewhere(const Run &run, Millis now) const;
     bool mayStopLongRunning(const Job &job, int occurrence, int step, int index, Millis now) const;
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -411,20 +411,22 @@
 {
     for (auto &it : orders.starts) {
         auto order = it;
-        m_ports.workers.start(
-            std::move(it), m_times.orderTimeout, m_ports.isSoleOwner, [this, alive = m_alive, order](const OrderResult &result) {
-                if (!*alive) {
-                    return;
-                }
-                const bool current = order.fence == m_pool->fenceAt(order.worker.id);
-                m_pool->onStart(order, result, m_ports.clock.boot());
-                if (result.outcome == OrderOutcome::Fenced && current) {
-                    return m_ports.superseded("worker " + order.worker.id + " rejected a start: it has seen a higher fencing token");
-                }
-                if (result.outcome != OrderOutcome::Accepted) {
-                    scheduleRun();
-                }
-            });
+        const auto mayStillSend = [this, alive = m_alive, order] {
+            return *alive && m_ports.isSoleOwner() && m_pool->mayStillSend(order, m_ports.clock.boot());
+        };
+        m_ports.workers.start(std::move(it), m_times.orderTimeout, mayStillSend, [this, alive = m_alive, order](const OrderResult &result) {
+            if (!*alive) {
+                return;
+            }
+            const bool current = order.fence == m_pool->fenceAt(order.worker.id);
+            m_pool->onStart(order, result, m_ports.clock.boot());
+            if (result.outcome == OrderOutcome::Fenced && current) {
+                return m_ports.superseded("worker " + order.worker.id + " rejected a start: it has seen a higher fencing token");
+            }
+            if (result.outcome != OrderOutcome::Accepted) {
+                scheduleRun();
+            }
+        });
     }
     for (auto &it : orders.stops) {
         auto order = it;
--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -239,6 +239,7 @@
     }
     checkStart(worker, order, reserved(step));
     ++starts;
+    lastStarts[worker.registration.id] = m_loop.now();
     if (deadly.contains(order.subtask)) {
         auto &count = m_deadlyStarts[order.subtask];
         // Three starts have crashed three workers, and two more are allowed.
@@ -324,30 +325,40 @@
 WorkerPort FakeWorkers::port(const std::string &client)
 {
     WorkerPort port;
-    const auto send = [this,
-                       client](const auto &order, Millis timeout, const MaySend &maySend, std::function<void(OrderResult)> done, auto act) {
-        if (!maySend()) {
-            return m_loop.post([done = std::move(done)] { done({.outcome = OrderOutcome::NotSent}); });
-        }
-        const auto &id = order.worker.id;
-        if (unreachable(client, id)) {
-            return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
-        }
-        if (delayed.contains(id)) {
-            m_loop.timers().after(orderDelay, [this, order, act] {
-                m_orderSentAt = m_loop.now() - orderDelay;
-                (this->*act)(m_workers.at(order.worker.id), order);
-                m_orderSentAt = {};
+    const auto sendNow =
+        [this, client](const auto &order, Millis timeout, const MaySend &maySend, std::function<void(OrderResult)> done, auto act) {
+            if (!maySend()) {
+                return m_loop.post([done = std::move(done)] { done({.outcome = OrderOutcome::NotSent}); });
+            }
+            const auto &id = order.worker.id;
+            if (unreachable(client, id)) {
+                return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
+            }
+            if (delayed.contains(id)) {
+                m_loop.timers().after(orderDelay, [this, order, act] {
+                    m_orderSentAt = m_loop.now() - orderDelay;
+                    (this->*act)(m_workers.at(order.worker.id), order);
+                    m_orderSentAt = {};
+                });
+                return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
+            }
+            m_loop.timers().after(latency, [this, order, act, timeout, done = std::move(done)] {
+                const auto result = (this->*act)(m_workers.at(order.worker.id), order);
+                const auto delay = delayOf(order.worker.id);
+                m_loop.timers().after(std::min(delay, timeout),
+                                      [done, result, late = delay > timeout] { done(late ? OrderResult{} : result); });
             });
-            return m_loop.timers().after(timeout, [done = std::move(done)] { done({}); });
-        }
-        m_loop.timers().after(latency, [this, order, act, timeout, done = std::move(done)] {
-            const auto result = (this->*act)(m_workers.at(order.worker.id), order);
-            const auto delay = delayOf(order.worker.id);
-            m_loop.timers().after(std::min(delay, timeout),
-                                  [done, result, late = delay > timeout] { done(late ? OrderResult{} : result); });
-        });
-    };
+        };
+    const auto send =
+        [this, sendNow](const auto &order, Millis timeout, const MaySend &maySend, std::function<void(OrderResult)> done, auto act) {
+            const auto delay = connectionDelay.find(order.worker.id);
+            if (delay == connectionDelay.end()) {
+                return sendNow(order, timeout, maySend, std::move(done), act);
+            }
+            m_loop.timers().after(delay->second, [sendNow, order, timeout, maySend, done = std::move(done), act] {
+                sendNow(order, timeout, maySend, done, act);
+            });
+        };
     port.start = [send](const StartOrder &order, Millis timeout, const MaySend &maySend, std::function<void(OrderResult)> done) {
         send(order, timeout, maySend, std::move(done), &FakeWorkers::handleStart);
     };
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -43,6 +43,8 @@
     std::set<std::pair<std::string, std::string>> blockedLinks;
     /// Additional delay of all responses of a worker, which carries orders out without delay.
     std::map<std::string, Millis> responseDelay;
+    /// Time that starts and stops to a worker wait for a connection before they are sent.
+    std::map<std::string, Millis> connectionDelay;
     /// Workers that carry out start and stop orders after `orderDelay` and send no response.
     std::set<std::string> delayed;
     Millis orderDelay{3'000};
@@ -69,6 +71,8 @@
     /// Descriptions of the protocol violations that were seen.
     std::vector<std::string> violations;
     int starts = 0;
+    /// Loop time of the last start on each worker.
+    std::map<std::string, Millis> lastStarts;
     int crashes = 0;
     /// Runs of other subtasks that were on a worker when it crashed.
     int lostRuns = 0;
@@ -83,6 +87,10 @@
         return m_startedJobs.contains(job);
     }
     int runningOn(const std::string &id) const;
+    const WorkerRegistration &registrationOf(const std::string &id) const
+    {
+        return m_workers.at(id).registration;
+    }
     bool isUp(const std::string &id) const
     {
         return m_workers.at(id).availableAt <= m_loop.now();
--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -1,4 +1,4 @@
-// Workers whose capacity shrinks and grows while they run subtasks.
+// Workers that shrink, grow, leave or restart between the placement and the start of a run.
 #include "scheduling/pool.hpp"
 #include "unit/jobcluster.hpp"
 
@@ -38,6 +38,25 @@
         pool.setWorkers(entries, now);
     }
 
+    /// Withdraws what runs may rely on when they are started on the worker.
+    void withdraw(const std::string &id, const std::string &change)
+    {
+        const auto it = std::find_if(entries.begin(), entries.end(), [&](const auto &entry) { return entry.id == id; });
+        if (change == "draining") {
+            it->draining = true;
+        } else if (change == "gone") {
+            entries.erase(it);
+        } else if (change == "cordoned") {
+            pool.cordonVms({id}, now + Millis{5'000});
+        } else if (change == "unreachable") {
+            pool.onHold(id, pool.fenceAt(id), {.outcome = OrderOutcome::Unknown}, now, now, now);
+        } else {
+            it->incarnationStart = lists[id].incarnationStart = 6;
+            list();
+        }
+        pool.setWorkers(entries, now);
+    }
+
     /// Delivers the lists of all workers.
     void list()
     {
@@ -244,6 +263,126 @@
     CHECK(sim.start() == 1);
 }
 
+TEST_CASE("a subtask does not start on a worker that left, restarted or was cordoned while its record was committed")
+{
+    const auto change = GENERATE(
+        std::string("draining"), std::string("gone"), std::string("cordoned"), std::string("unreachable"), std::string("restarted"));
+    CAPTURE(change);
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 0);
+    sim.add(1, 1, 2'000);
+    sim.pool.schedule(sim.now, sim.now, true);
+    REQUIRE(sim.pool.takeRecords(10).size() == 1);
+    sim.withdraw("w0", change);
+    sim.setCpu("w1", 4'000);
+    CHECK(sim.pool.onRecordsCommitted(sim.now).starts.empty());
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    const auto moved = sim.commit();
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].run == 2);
+    CHECK((moved[0].worker.id == "w1" || change == "restarted"));
+}
+
+TEST_CASE("a subtask that waits for its record to be committed leaves a worker that drains at once")
+{
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 0);
+    sim.add(1, 1, 2'000);
+    sim.pool.schedule(sim.now, sim.now, true);
+    sim.withdraw("w0", "draining");
+    sim.setCpu("w1", 4'000);
+    const auto moved = sim.commit();
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].worker.id == "w1");
+}
+
+TEST_CASE("a start that was not sent is not repeated on a worker that left, restarted or was cordoned meanwhile")
+{
+    const auto change = GENERATE(
+        std::string("draining"), std::string("gone"), std::string("cordoned"), std::string("unreachable"), std::string("restarted"));
+    CAPTURE(change);
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.setCpu("w1", 0);
+    sim.add(1, 1, 2'000);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 1);
+    sim.answer(starts[0], OrderOutcome::NotSent);
+    sim.withdraw("w0", change);
+    sim.setCpu("w1", 4'000);
+    sim.now += PoolTimes{}.resendInterval;
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    const auto moved = sim.commit();
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].run == 2);
+}
+
+TEST_CASE("a gang starts as a whole or not at all if a worker began to drain or became unreachable before its record was committed")
+{
+    // The other members would wait in vain for the one on that worker.
+    const auto change = GENERATE(std::string("draining"), std::string("cordoned"), std::string("unreachable"));
+    const bool taken = GENERATE(false, true);
+    CAPTURE(change, taken);
+    CapacityPool sim({{"w0", 4'000}, {"w1", 4'000}});
+    sim.add(1, 4, 2'000, true);
+    sim.pool.schedule(sim.now, sim.now, true);
+    if (taken) {
+        REQUIRE(sim.pool.takeRecords(10).size() == 1);
+    }
+    sim.withdraw("w1", change);
+    if (!taken) {
+        sim.pool.schedule(sim.now, sim.now, true);
+        REQUIRE(sim.pool.takeRecords(10).size() == 1);
+    }
+    CHECK(sim.pool.onRecordsCommitted(sim.now).starts.empty());
+    CHECK(sim.pool.dueOrders(sim.now).starts.empty());
+    CHECK(sim.start() == 0);
+}
+
+TEST_CASE("a gang is stopped if one of its starts was not sent and its worker drains")
+{
+    CapacityPool sim({{"w0", 2'000}, {"w1", 2'000}});
+    sim.add(1, 2, 2'000, true);
+    const auto starts = sim.commit();
+    REQUIRE(starts.size() == 2);
+    sim.accept(starts[0]);
+    sim.answer(starts[1], OrderOutcome::NotSent);
+    sim.withdraw(starts[1].worker.id, "draining");
+    const auto orders = sim.pool.dueOrders(sim.now);
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+    CHECK(orders.stops[0].subtask == starts[0].subtask);
+}
+
+TEST_CASE("no start reaches a worker that drains, however long records wait for the store or starts for a connection")
+{
+    const auto wait = GENERATE(std::string("store"), std::string("connection"));
+    const auto offset = GENERATE(Millis{0}, Millis{250}, Millis{500}, Millis{750}, Millis{1'000});
+    CAPTURE(wait, offset.count);
+    JobCluster cluster(1, 2);
+    cluster.loop.advance(startupTime);
+    if (wait == "connection") {
+        cluster.workers.connectionDelay = {{"w0", {650}}, {"w1", {650}}};
+    }
+    for (int i = 0; i < 40; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(4, 1'000, {300})}));
+    }
+    cluster.loop.advance({1'000});
+    if (wait == "store") {
+        cluster.store.latency = {1'200};
+    }
+    cluster.loop.advance(Millis{3'000} + offset);
+    auto leaving = cluster.workers.registrationOf("w0");
+    leaving.draining = true;
+    cluster.registerWorker(leaving);
+    // The feed tells the owner after its interval and the latency of the store.
+    const auto knownAt = cluster.loop.now() + cluster.store.latency + Millis{250};
+    cluster.loop.advance({30'000});
+    CHECK(cluster.workers.lastStarts["w0"] <= knownAt);
+    CHECK(cluster.workers.lastStarts["w1"] > knownAt);
+    CHECK(cluster.allFinal());
+    CHECK(cluster.workers.violations.empty());
+}
+
 TEST_CASE("a gang starts as a whole or not at all if a worker shrank while its record was committed")
 {
     // A gang of which only some members start holds its workers until the others have failed to come.
