Start committed runs on VMs that were cordoned meanwhile

The check right before a start also withdrew runs whose VM had been cordoned for a move after their placement. A cordon only keeps new placements away: a VM with a run on the way is not reported as drained, so it is not moved.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -597,7 +597,7 @@
     return fits(used, run.worker->entry.capacity);
 }
 
-const char *Pool::workerObstacle(const Run &run, Millis now)
+const char *Pool::workerObstacle(const Run &run)
 {
     const auto &worker = *run.worker;
     if (!worker.registered) {
@@ -609,20 +609,13 @@
     if (run.incarnationStart != worker.incarnationStart) {
         return "worker-reborn";
     }
-    if (worker.entry.draining) {
-        return "worker-draining";
-    }
-    // A long-running subtask may return to a cordoned VM that still has others.
-    const bool mayReturn = stepOf(run).longRunning && std::any_of(worker.runs.begin(), worker.runs.end(), [&run](const Run *it) {
-                               return it != &run && stepOf(*it).longRunning && !it->stopRequested;
-                           });
-    return worker.cordonedUntil > now && !mayReturn ? "vm-cordoned" : nullptr;
+    return worker.entry.draining ? "worker-draining" : nullptr;
 }
 
-const char *Pool::startObstacle(const Run &run, Millis now) const
+const char *Pool::startObstacle(const Run &run) const
 {
-    const auto obstacleOf = [this, now](const Run &it) {
-        const char *const obstacle = workerObstacle(it, now);
+    const auto obstacleOf = [this](const Run &it) {
+        const char *const obstacle = workerObstacle(it);
         return obstacle || fitsOnWorker(it) ? obstacle : "capacity-shrunk";
     };
     if (!stepOf(run).gang) {
@@ -638,14 +631,14 @@
     return nullptr;
 }
 
-bool Pool::mayStillSend(const StartOrder &order, Millis now) const
+bool Pool::mayStillSend(const StartOrder &order) const
 {
     const auto worker = m_workers.find(order.worker.id);
     if (worker == m_workers.end() || order.fence != fenceAt(order.worker.id)) {
         return false;
     }
     const Run *const run = findRun(*worker->second, order.subtask, order.run);
-    return run && !run->stopRequested && !workerObstacle(*run, now) && fitsOnWorker(*run);
+    return run && !run->stopRequested && !workerObstacle(*run) && fitsOnWorker(*run);
 }
 
 void Pool::withdraw(Run &run, Millis now, const char *reason)
@@ -670,13 +663,13 @@
 {
     for (auto &[id, worker] : m_workers) {
         const char *obstacle = nullptr;
-        const auto findUnstartable = [&runs = worker->runs, &obstacle, now, this] {
-            return std::find_if(runs.begin(), runs.end(), [&obstacle, now, this](const Run *it) {
+        const auto findUnstartable = [&runs = worker->runs, &obstacle, this] {
+            return std::find_if(runs.begin(), runs.end(), [&obstacle, this](const Run *it) {
                 obstacle = nullptr;
                 if (it->phase == RunPhase::Placed) {
-                    obstacle = workerObstacle(*it, now);
+                    obstacle = workerObstacle(*it);
                 } else if (it->phase == RunPhase::Starting && it->unsent && !it->stopRequested) {
-                    obstacle = startObstacle(*it, now);
+                    obstacle = startObstacle(*it);
                 }
                 return obstacle != nullptr;
             });
@@ -703,7 +696,7 @@
             run.phase = RunPhase::Starting;
             if (run.stopRequested) {
                 unwanted.push_back(&run);
-            } else if (!startObstacle(run, now)) {
+            } else if (!startObstacle(run)) {
                 orders.starts.push_back(makeStart(run, now));
             }
         });
@@ -757,8 +750,7 @@
                 }
                 continue;
             }
-            if (it->phase == RunPhase::Starting && it->unsent && now - it->lastOrderAt >= m_times.resendInterval
-                && !startObstacle(*it, now)) {
+            if (it->phase == RunPhase::Starting && it->unsent && now - it->lastOrderAt >= m_times.resendInterval && !startObstacle(*it)) {
                 orders.starts.push_back(makeStart(*it, now));
             } else if (it->phase == RunPhase::Running && it->targetSpeedPercent != it->speedPercent && isReachable(*worker)) {
                 it->orderInFlight = true;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -231,7 +231,7 @@
     /// Returns the stops, unsent starts and throttle changes that are due.
     PoolOrders dueOrders(Millis now);
     /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
-    bool mayStillSend(const StartOrder &order, Millis now) const;
+    bool mayStillSend(const StartOrder &order) const;
     std::optional<AdviceRequest> nextAdviceRequest(Millis now);
     /// Removes final jobs that ended before `endedBefore` (wall clock) and returns their ids.
     std::vector<std::string> takeExpired(Millis endedBefore, std::size_t limit);
@@ -317,9 +317,9 @@
     /// True if the worker's present capacity, which may have shrunk since the placement, holds a run that is to start.
     bool fitsOnWorker(const Run &run) const;
     /// Why the worker may not get the run, whose placement may be seconds old, apart from its capacity; nullptr if it may.
-    static const char *workerObstacle(const Run &run, Millis now);
+    static const char *workerObstacle(const Run &run);
     /// Why the run may not be sent, for a member of a gang also because of other members that are to start; nullptr if it may.
-    const char *startObstacle(const Run &run, Millis now) const;
+    const char *startObstacle(const Run &run) const;
     /// Drops a run that is not on its worker. The other members of its gang can't run without it and are dropped or stopped.
     void withdraw(Run &run, Millis now, const char *reason);
     /// Withdraws the runs that were not sent and that their workers may not get any more.
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -412,7 +412,7 @@
     for (auto &it : orders.starts) {
         auto order = it;
         const auto mayStillSend = [this, alive = m_alive, order] {
-            return *alive && m_ports.isSoleOwner() && m_pool->mayStillSend(order, m_ports.clock.boot());
+            return *alive && m_ports.isSoleOwner() && m_pool->mayStillSend(order);
         };
         m_ports.workers.start(std::move(it), m_times.orderTimeout, mayStillSend, [this, alive = m_alive, order](const OrderResult &result) {
             if (!*alive) {
