Show a known fault from what workers see: completed jobs run again

Case 2 keeps its killed entry away for 3.5 s, as the site file does. The stand-in of a worker wrote a wrong name for runs whose lease had lapsed.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -13,6 +13,8 @@
 constexpr int subtasks = 640;
 constexpr Resources machineSize{32'000, 65'536};
 constexpr std::int64_t durationMs = 6'000;
+/// How long the killed process is away, as in `node_kill` of the site file.
+constexpr std::int64_t downMs = 3'500;
 
 int main(int, char **argv)
 {
@@ -64,8 +66,7 @@
     if (trouble()) {
         site.entries[owner]->signal(9);
         site.entries[owner]->waitForEnd();
-        // As on the platform, a process that was killed is started again after a short delay.
-        sleepMs(1'000);
+        sleepMs(downMs);
         site.entries[owner]->start();
     }
     waitFor([&] { return site.state((owner + 1) % 3, path) == "completed"; }, 25'000);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,6 @@
-// A job whose four subtasks last, one a worker. One worker crashes 100 ms after each start that it accepts and is back a second later;
-// the others are sound.
+// Jobs are completed and kept for their time. The store is down for 4.5 s while the owner wants to remove them, and drops its history later.
 //
-// TROUBLE=0: no worker crashes.
+// TROUBLE=0: the store is not down.
 #include "stand.hpp"
 
 #include <algorithm>
@@ -11,15 +10,14 @@
 using namespace stand;
 
 constexpr Resources machineSize{32'000, 65'536};
-constexpr std::int64_t crashAfterMs = 100;
-constexpr std::int64_t downMs = 1'000;
-/// The worker is sound after so many crashes.
-constexpr int crashes = 3;
-constexpr std::size_t subtasks = 4;
+constexpr int jobStatusSeconds = 20;
+/// The product keeps ended jobs for one and a half times `status_s`, and looks for older ones every 5 s.
+constexpr std::int64_t retentionMs = jobStatusSeconds * 1'500;
+constexpr std::int64_t downMs = 4'500;
 
 int main(int, char **argv)
 {
-    Deployment site(argv[1], 3);
+    Deployment site(argv[1], 3, {.jobStatusSeconds = jobStatusSeconds});
     const auto verdict = [&](int code, const std::string &text) {
         site.record.line("verdict: " + text);
         std::printf("%s\n", text.c_str());
@@ -30,57 +28,60 @@
         }
         _exit(code);
     };
-    for (int i = 1; i <= 9; ++i) {
+    for (int i = 1; i <= 3; ++i) {
         const auto n = std::to_string(i);
-        auto &worker = site.fleet.add("i-7f3a91c" + n, "m-0a3f" + n, "quotes", "r" + std::to_string(i / 4), machineSize);
-        if (i == 1 && trouble()) {
-            worker.onStart = [&worker, n = std::make_shared<std::atomic<int>>(0)](const std::string &, int) {
-                if (*n >= crashes) {
-                    return;
-                }
-                std::thread([&worker, n] {
-                    sleepMs(crashAfterMs);
-                    if (worker.isUp() && ++*n <= crashes) {
-                        worker.crash();
-                        sleepMs(downMs);
-                        worker.restart(worker.id(), worker.service());
-                    }
-                }).detach();
-            };
-        }
+        site.fleet.add("i-7f3a91c" + n, "m-0a3f" + n, "payments", "r" + n, machineSize);
     }
-    site.configure(1, {{"r-quotes", "/quotes/", "quotes"}}, {"quotes"});
+    site.configure(1, {{"r-payments", "/payments/", "payments"}}, {"payments"});
     site.start();
-    if (!waitFor([&] { return site.client(0, "GET", "/quotes/00000000000000ff").status == 410; }, 10'000)) {
+    if (!waitFor([&] { return site.client(0, "GET", "/payments/00000000000000ff").status == 410; }, 10'000)) {
         verdict(2, "the entries don't serve");
     }
-    const std::string path = "/quotes/a000000000000001";
-    const Json step{{"count", subtasks},       {"cpu", 2000},          {"mem_mb", 100}, {"estimate_ms", 0}, {"anti_affinity", 1},
-                    {"long_running", true}, {"may_miss", 1}, {"image", "im-1"}};
-    const Json job{{"spec", "serves"}, {"steps", {step}}};
-    if (!site.submit(0, path, job.dump())) {
-        verdict(2, "the job was not accepted");
+    const Json step{{"count", 2}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", 300}};
+    const Json job{{"spec", "ms=300"}, {"steps", {step}}};
+    std::vector<std::string> paths;
+    const auto firstAt = now();
+    // One job every 250 ms for 6 s, so that some are due for removal while the store is down.
+    for (int i = 0; i < 24; ++i) {
+        char id[17];
+        std::snprintf(id, sizeof id, "a0000000000000%02d", i);
+        paths.push_back(std::string("/payments/") + id);
+        if (!site.submit(static_cast<std::size_t>(i % 3), paths.back(), job.dump())) {
+            verdict(2, "a job was not accepted");
+        }
+        sleepMs(250);
     }
-    std::string state;
-    waitFor([&] { return (state = site.state(1, path)) == "failed"; }, 20'000);
-    const auto events = site.fleet.events();
-    const auto ends = [&](const char *how) {
-        return std::count_if(events.begin(), events.end(), [&](const Event &it) { return it.kind == Event::Kind::Ended && it.how == how; });
-    };
-    const auto crashed = std::count_if(events.begin(), events.end(), [](const Event &it) { return it.kind == Event::Kind::Crashed; });
-    const auto text = std::to_string(crashed) + " crashes of one worker, " + std::to_string(ends("failed")) + " ends failed, "
-                      + std::to_string(ends("stopped")) + " subtasks at work on sound workers stopped; the job is shown as '" + state + "'";
-    if (state == "failed" && ends("failed") == 0) {
-        verdict(1, "LOST: " + text);
+    for (const auto &it : paths) {
+        if (!waitFor([&] { return site.state(0, it) == "completed"; }, 5'000)) {
+            verdict(2, "a job was not completed");
+        }
     }
-    const bool working = waitFor(
-        [&] {
-            std::size_t n = 0;
-            for (const auto &it : site.fleet.workers()) {
-                n += it->running();
+    sleepMs(firstAt + retentionMs + 2'000 - now());
+    site.record.line("store: down for " + std::to_string(trouble() ? downMs : 0) + " ms");
+    site.store.isDown = trouble();
+    sleepMs(downMs);
+    site.store.isDown = false;
+    sleepMs(6'000);
+    site.store.forgetHistory();
+    sleepMs(10'000);
+    const auto events = site.fleet.events();
+    int again = 0;
+    std::string example;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+        if (events[i].kind != Event::Kind::Ended || events[i].how != "done") {
+            continue;
+        }
+        for (std::size_t k = i + 1; k < events.size(); ++k) {
+            if (events[k].kind == Event::Kind::Started && events[k].task == events[i].task) {
+                ++again;
+                example = events[i].task + " ended done at " + std::to_string(events[i].at) + " ms and was started again at "
+                          + std::to_string(events[k].at) + " ms as run " + std::to_string(events[k].run);
+                break;
             }
-            return n == subtasks;
-        },
-        5'000);
-    verdict(working && state == "running" ? 0 : 2, "held: " + text);
+        }
+    }
+    if (again > 0) {
+        verdict(1, "TWICE: " + std::to_string(again) + " subtasks of completed jobs ran again, e.g. " + example);
+    }
+    verdict(0, "held; no subtask of " + std::to_string(paths.size()) + " completed jobs ran again");
 }
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -431,8 +431,19 @@
     return it != m_rows.end() && !it->second.removed ? fromBase64(it->second.value) : std::string();
 }
 
+void Store::forgetHistory()
+{
+    const std::lock_guard lock(m_mutex);
+    m_forgottenUpTo = m_version;
+    m_record.line("store: the history is dropped");
+    m_changed.notify_all();
+}
+
 Response Store::handle(const Request &request)
 {
+    if (isDown) {
+        return {.status = 503};
+    }
     if (request.path == "/-/rows-tx") {
         return transact(request);
     }
@@ -575,7 +586,10 @@
     const auto after = static_cast<std::uint64_t>(queryNumber(request.query, "after"));
     const auto wait = queryNumber(request.query, "wait_ms");
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, chrono::milliseconds(wait), [&] { return m_tableVersions[table] > after; });
+    m_changed.wait_for(lock, chrono::milliseconds(wait), [&] { return m_tableVersions[table] > after || after < m_forgottenUpTo; });
+    if (after < m_forgottenUpTo) {
+        return {.status = 410};
+    }
     auto answer = head();
     std::multimap<std::uint64_t, Json> changed;
     for (auto it = m_rows.lower_bound({table, "", ""}); it != m_rows.end() && std::get<0>(it->first) == table; ++it) {
@@ -731,7 +745,7 @@
     return {.body = head().dump()};
 }
 
-void Worker::end(const std::string &task, const std::string &how)
+void Worker::end(std::string task, const std::string &how)
 {
     const auto it = m_runs.find(task);
     if (it == m_runs.end()) {
@@ -1020,7 +1034,7 @@
 // Entries.
 
 Entry::Entry(
-    Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, double cpuShare)
+    Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, EntryOptions options)
     : m_record(record)
     , m_name(std::move(name))
     , m_folder(std::move(folder))
@@ -1030,10 +1044,10 @@
 {
     std::ofstream out(m_folder + "/" + m_name + ".toml");
     out << "name = \"" << m_name << "\"\nzone = \"a\"\nregion = \"r\"\ncaller_address = \"" << m_callers
-        << "\"\nready_address = \"" << m_ready << "\"\npeer_address = \"" << m_peers << "\"\nmetrics_port = 0\n\n[limits]\ncpu_share = " << cpuShare << "\n"
+        << "\"\nready_address = \"" << m_ready << "\"\npeer_address = \"" << m_peers << "\"\nmetrics_port = 0\n\n[limits]\ncpu_share = " << options.cpuShare << "\n"
         << "cpu_speed = 1\n\n[platform]\nstore_address = \"" << store << "\"\nstore_row_bytes = 65536\nvm_address = \"" << cloud
         << "\"\nvm_actions_per_s = 64.0\nvm_lists_per_s = 64.0\nadvice_address = \"\"\n\n[bounds]\nhold_max_ms = 10000\ndrain_ms = 2000\n"
-        << "stop_timeout_ms = 200\njob_status_s = 120\nmove_s = 1.5\nmaintenance_s = 2\nnotice_ms = 4500\nstop_grace_s = 6\n"
+        << "stop_timeout_ms = 200\njob_status_s = " << options.jobStatusSeconds << "\nmove_s = 1.5\nmaintenance_s = 2\nnotice_ms = 4500\nstop_grace_s = 6\n"
         << "order_takeover_ms = 3000\nremote_factor = 1.5\nharm_ms = 4000\n";
 }
 
@@ -1082,7 +1096,7 @@
     return call(m_ready, "GET", "/-/readiness").status == 200;
 }
 
-Deployment::Deployment(const std::string &recordPath, std::size_t count)
+Deployment::Deployment(const std::string &recordPath, std::size_t count, EntryOptions options)
     : record(recordPath)
     , store(record)
     , fleet(record, store)
@@ -1093,7 +1107,7 @@
     folder = given ? pattern : std::string(mkdtemp(pattern.data()));
     for (std::size_t i = 1; i <= count; ++i) {
         entries.push_back(
-            std::make_unique<Entry>(record, "entry-" + std::to_string(i), store.address(), fleet.cloudAddress(), folder));
+            std::make_unique<Entry>(record, "entry-" + std::to_string(i), store.address(), fleet.cloudAddress(), folder, options));
     }
 }
 
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -126,6 +126,10 @@
     /// Value of a row; empty if there is none.
     std::string get(const std::string &table, const std::string &part, const std::string &key);
     void setFate(Fate fate);
+    /// While set, each call of the system gets 503 and nothing is done.
+    std::atomic<bool> isDown{false};
+    /// Drops the history: a feed from an earlier version gets 410.
+    void forgetHistory();
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>;
@@ -150,6 +154,7 @@
     std::map<std::string, std::uint64_t> m_tableVersions;
     std::map<std::string, std::int64_t> m_partBusyUntil;
     std::uint64_t m_version = 100;
+    std::uint64_t m_forgottenUpTo = 0;
     Fate m_fate;
     Server m_server;
 };
@@ -246,7 +251,7 @@
     Response hold(const Json &body, std::unique_lock<std::mutex> &lock);
     Json head() const;
     std::int64_t clock() const;
-    void end(const std::string &task, const std::string &how);
+    void end(std::string task, const std::string &how);
     void raiseDeadline(const Json &body);
     bool isFenced(const Json &body);
 
@@ -328,11 +333,16 @@
     std::thread m_thread;
 };
 
+struct EntryOptions {
+    double cpuShare = 0.25;
+    int jobStatusSeconds = 120;
+};
+
 /// A process `hibiscusbridge entry`.
 class Entry
 {
 public:
-    Entry(Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, double cpuShare = 0.25);
+    Entry(Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, EntryOptions options = {});
     ~Entry();
     void start();
     void signal(int number);
@@ -359,7 +369,7 @@
 
 /// A small deployment: store, fleet, entries and the configuration.
 struct Deployment {
-    Deployment(const std::string &recordPath, std::size_t entries);
+    Deployment(const std::string &recordPath, std::size_t entries, EntryOptions options = {});
     ~Deployment();
     /// Starts the entries and waits until they serve.
     void start();
