--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -19,8 +19,7 @@
 
 static std::string job(int count, int cpu, int ms)
 {
-    return Json{{"spec", "ms=" + std::to_string(ms)},
-                {"steps", {{{"count", count}, {"cpu", cpu}, {"mem_mb", 100}, {"estimate_ms", ms}}}}}
+    return Json{{"spec", "ms=" + std::to_string(ms)}, {"steps", {{{"count", count}, {"cpu", cpu}, {"mem_mb", 100}, {"estimate_ms", ms}}}}}
         .dump();
 }
 
@@ -49,9 +48,8 @@
     // A first small job shows that the pool works.
     const auto runs = [&](const std::string &id) {
         const auto events = site.fleet.events();
-        return std::any_of(events.begin(), events.end(), [&](const Event &it) {
-            return it.kind == Event::Kind::Started && it.task.starts_with(id);
-        });
+        return std::any_of(
+            events.begin(), events.end(), [&](const Event &it) { return it.kind == Event::Kind::Started && it.task.starts_with(id); });
     };
     if (!site.submit(0, "/renders/a000000000000001", job(4, 500, 300))
         || !waitFor([&] { return site.state(1, "/renders/a000000000000001") == "completed"; }, 10'000)) {
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -86,8 +86,8 @@
         for (std::size_t k = i + 1; k < all.size(); ++k) {
             const auto &it = all[k];
             lapsed = lapsed || (!acknowledged && it.kind == Event::Kind::LeaseLapsed && it.worker == all[i].worker);
-            acknowledged = acknowledged
-                           || (it.kind == Event::Kind::Acknowledged && it.worker == all[i].worker && it.number >= all[i].number);
+            acknowledged =
+                acknowledged || (it.kind == Event::Kind::Acknowledged && it.worker == all[i].worker && it.number >= all[i].number);
             if (it.kind == Event::Kind::Started && it.task == all[i].task) {
                 again = &it;
             }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,4 +1,5 @@
-// Jobs are completed and kept for their time. The store is down for 4.5 s while the owner wants to remove them, and drops its history later.
+// Jobs are completed and kept for their time. The store is down for 4.5 s while the owner wants to remove them, and drops its history
+// later.
 //
 // TROUBLE=0: the store is not down.
 #include "stand.hpp"
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -518,8 +518,9 @@
         }
         const auto bytes = it.value("value", "").size() * 3 / 4;
         if (bytes > m_limits.rowBytes + 2) {
-            return refuse(413, "the value of row " + table + "/" + it.value("part", "") + "/" + it.value("key", "") + " has "
-                                   + std::to_string(bytes) + " bytes, the limit is " + std::to_string(m_limits.rowBytes));
+            return refuse(413,
+                          "the value of row " + table + "/" + it.value("part", "") + "/" + it.value("key", "") + " has "
+                              + std::to_string(bytes) + " bytes, the limit is " + std::to_string(m_limits.rowBytes));
         }
     }
     std::unique_lock lock(m_mutex);
@@ -888,7 +889,8 @@
     m_thread.join();
 }
 
-Worker &Fleet::add(const std::string &id, const std::string &machine, const std::string &service, const std::string &rack, Resources capacity)
+Worker &Fleet::add(
+    const std::string &id, const std::string &machine, const std::string &service, const std::string &rack, Resources capacity)
 {
     auto worker = std::make_unique<Worker>(*this, id, machine, service, rack, capacity);
     auto &added = *worker;
@@ -1033,8 +1035,7 @@
 
 // Entries.
 
-Entry::Entry(
-    Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, EntryOptions options)
+Entry::Entry(Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, EntryOptions options)
     : m_record(record)
     , m_name(std::move(name))
     , m_folder(std::move(folder))
@@ -1043,11 +1044,12 @@
     , m_peers(freeAddress())
 {
     std::ofstream out(m_folder + "/" + m_name + ".toml");
-    out << "name = \"" << m_name << "\"\nzone = \"a\"\nregion = \"r\"\ncaller_address = \"" << m_callers
-        << "\"\nready_address = \"" << m_ready << "\"\npeer_address = \"" << m_peers << "\"\nmetrics_port = 0\n\n[limits]\ncpu_share = " << options.cpuShare << "\n"
+    out << "name = \"" << m_name << "\"\nzone = \"a\"\nregion = \"r\"\ncaller_address = \"" << m_callers << "\"\nready_address = \""
+        << m_ready << "\"\npeer_address = \"" << m_peers << "\"\nmetrics_port = 0\n\n[limits]\ncpu_share = " << options.cpuShare << "\n"
         << "cpu_speed = 1\n\n[platform]\nstore_address = \"" << store << "\"\nstore_row_bytes = 65536\nvm_address = \"" << cloud
         << "\"\nvm_actions_per_s = 64.0\nvm_lists_per_s = 64.0\nadvice_address = \"\"\n\n[bounds]\nhold_max_ms = 10000\ndrain_ms = 2000\n"
-        << "stop_timeout_ms = 200\njob_status_s = " << options.jobStatusSeconds << "\nmove_s = 1.5\nmaintenance_s = 2\nnotice_ms = 4500\nstop_grace_s = 6\n"
+        << "stop_timeout_ms = 200\njob_status_s = " << options.jobStatusSeconds
+        << "\nmove_s = 1.5\nmaintenance_s = 2\nnotice_ms = 4500\nstop_grace_s = 6\n"
         << "order_takeover_ms = 3000\nremote_factor = 1.5\nharm_ms = 4000\n";
 }
 
@@ -1125,8 +1127,8 @@
     for (const auto &it : entries) {
         it->start();
     }
-    const bool ready = waitFor(
-        [&] { return std::all_of(entries.begin(), entries.end(), [](const auto &it) { return it->isReady(); }); }, 15'000);
+    const bool ready =
+        waitFor([&] { return std::all_of(entries.begin(), entries.end(), [](const auto &it) { return it->isReady(); }); }, 15'000);
     if (!ready) {
         record.line("the entries are not ready");
         entries.clear();
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -342,7 +342,12 @@
 class Entry
 {
 public:
-    Entry(Record &record, std::string name, const std::string &store, const std::string &cloud, std::string folder, EntryOptions options = {});
+    Entry(Record &record,
+          std::string name,
+          const std::string &store,
+          const std::string &cloud,
+          std::string folder,
+          EntryOptions options = {});
     ~Entry();
     void start();
     void signal(int number);
@@ -374,7 +379,9 @@
     /// Starts the entries and waits until they serve.
     void start();
     /// Writes op/config with these routes (name, prefix, service) and services.
-    void configure(std::int64_t version, const std::vector<std::tuple<std::string, std::string, std::string>> &routes, const std::vector<std::string> &services);
+    void configure(std::int64_t version,
+                   const std::vector<std::tuple<std::string, std::string, std::string>> &routes,
+                   const std::vector<std::string> &services);
     /// A call of a client; recorded with its answer.
     Response client(std::size_t entry, const std::string &method, const std::string &path, const std::string &body = {});
     /// Sends a job until it is accepted, as a client would; false after `tries`.
