Choose ports of the review's entries outside the range of outgoing connections

Cause: a port that was free when it was chosen was taken by an outgoing connection before the entry listened on it; one run of case 1 with TROUBLE=0 ended with 2. Ports are now taken from 10000 to 30000.

--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
@@ -13,6 +14,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -152,12 +154,23 @@
 
 std::string freeAddress()
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto address = loopback(0);
-    bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    const auto text = "127.0.0.1:" + std::to_string(portOf(fd));
-    close(fd);
-    return text;
+    // Below the range from which the system takes ports for outgoing connections: one of those could be in use by the time the entry
+    // listens.
+    constexpr int firstPort = 10'000;
+    constexpr int lastPort = 30'000;
+    static std::mt19937 random{std::random_device{}()};
+    static std::set<int> taken;
+    std::uniform_int_distribution<int> ports(firstPort, lastPort);
+    while (true) {
+        const int port = ports(random);
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        auto address = loopback(port);
+        const bool isFree = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        close(fd);
+        if (isFree && taken.insert(port).second) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 static bool sendAll(int fd, const std::string &text)
@@ -1131,6 +1144,8 @@
         waitFor([&] { return std::all_of(entries.begin(), entries.end(), [](const auto &it) { return it->isReady(); }); }, 15'000);
     if (!ready) {
         record.line("the entries are not ready");
+        std::puts("the entries are not ready");
+        std::fflush(stdout);
         entries.clear();
         _exit(2);
     }
