Store the progress of a large job in several rows

Cause: the progress of a job was written as one row whatever its size. With 2,000 subtasks at work the row has 90,972 bytes and the store takes 65,536. It refused each transaction of the owner, which kept the row and up to 47 rows of other jobs and sent them again every 110 ms. A new owner placed the same subtasks and built the same row. Beside it, nothing kept a transaction below the 1 MB of a call.

Change: a record that does not fit into a row is divided into parts with equal shares of the subtasks. All changed rows of a job are written together, so that a start is still recorded before it is sent, and rows of jobs are added to a transaction only up to its limit. The store of the unit tests now refuses rows, calls and entries beyond the platform's limits.

Records of one row are stored as before.

--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -5,6 +5,8 @@
 #include "jobs/check.hpp"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace hibiscusbridge::jobs
 {
@@ -136,8 +138,46 @@
     }
 }
 
+namespace
+{
+
+/// Worker incarnations that the subtasks of a part refer to by their position.
+class WorkerTable
+{
+public:
+    std::size_t positionOf(const std::string &id, std::int64_t startedAt)
+    {
+        const auto [it, isNew] = m_positions.try_emplace({id, startedAt}, m_positions.size());
+        if (isNew) {
+            m_rows.push_back(Json::array({id, startedAt}));
+        }
+        return it->second;
+    }
+    const Json &rows() const
+    {
+        return m_rows;
+    }
+
+private:
+    std::map<std::pair<std::string, std::int64_t>, std::size_t> m_positions;
+    Json m_rows = Json::array();
+};
+
+} // namespace
+
+/// Adds the worker to a row of a run or a crash; `table` is null in a record of a single row, which names each worker in full.
+static void addWorker(Json &row, const std::string &id, std::int64_t startedAt, WorkerTable *table)
+{
+    if (table) {
+        row.push_back(table->positionOf(id, startedAt));
+        return;
+    }
+    row.push_back(id);
+    row.push_back(startedAt);
+}
+
 /// 0 for a subtask without progress, 1 for a completed one without runs, otherwise an array of its fields.
-static Json encodeSubtask(const SubtaskRecord &subtask)
+static Json encodeSubtask(const SubtaskRecord &subtask, WorkerTable *table)
 {
     if (subtask.done && subtask.runs.empty()) {
         return 1;
@@ -147,29 +187,46 @@
     }
     Json runs = Json::array();
     for (const auto &it : subtask.runs) {
-        runs.push_back(Json::array({it.number, it.workerId, it.workerStartedAt}));
+        auto row = Json::array({it.number});
+        addWorker(row, it.workerId, it.workerStartedAt, table);
+        runs.push_back(std::move(row));
     }
     auto json = Json::array({subtask.done ? 1 : 0, subtask.failedRuns, subtask.lastRun, subtask.checkpoint, std::move(runs)});
     if (!subtask.crashes.empty()) {
         Json crashes = Json::array();
         for (const auto &it : subtask.crashes) {
-            crashes.push_back(Json::array({it.workerId, it.workerStartedAt, static_cast<int>(it.suspicion), it.confirmed}));
+            auto row = Json::array();
+            addWorker(row, it.workerId, it.workerStartedAt, table);
+            row.push_back(static_cast<int>(it.suspicion));
+            row.push_back(it.confirmed);
+            crashes.push_back(std::move(row));
         }
         json.push_back(std::move(crashes));
     }
     return json;
 }
 
-static CrashRecord decodeCrash(const Json &json)
+/// Reads what `addWorker` has added at `position` and returns the position after it.
+static std::size_t readWorker(const Json &row, std::size_t position, const Json *table, std::string &id, std::int64_t &startedAt)
 {
-    CrashRecord crash{.workerId = json.at(0).get<std::string>(), .workerStartedAt = toNumber(json.at(1))};
-    const auto suspicion = std::clamp(toInt(json.at(2)), 0, static_cast<int>(Suspicion::SoleSuspect));
+    const auto &worker = table ? table->at(row.at(position).get<std::size_t>()) : row;
+    const auto at = table ? 0 : position;
+    id = worker.at(at).get<std::string>();
+    startedAt = toNumber(worker.at(at + 1));
+    return position + (table ? 1 : 2);
+}
+
+static CrashRecord decodeCrash(const Json &json, const Json *table)
+{
+    CrashRecord crash;
+    const auto next = readWorker(json, 0, table, crash.workerId, crash.workerStartedAt);
+    const auto suspicion = std::clamp(toInt(json.at(next)), 0, static_cast<int>(Suspicion::SoleSuspect));
     crash.suspicion = static_cast<Suspicion>(suspicion);
-    crash.confirmed = json.at(3).get<bool>();
+    crash.confirmed = json.at(next + 1).get<bool>();
     return crash;
 }
 
-static SubtaskRecord decodeSubtask(const Json &json)
+static SubtaskRecord decodeSubtask(const Json &json, const Json *table)
 {
     SubtaskRecord subtask;
     if (json.is_number()) {
@@ -183,16 +240,28 @@
     subtask.lastRun = std::max(toInt(json.at(2)), 0);
     subtask.checkpoint = json.at(3).get<std::string>();
     for (const auto &it : json.at(4)) {
-        subtask.runs.push_back({toInt(it.at(0)), it.at(1).get<std::string>(), toNumber(it.at(2))});
+        RunRecord run{.number = toInt(it.at(0))};
+        readWorker(it, 1, table, run.workerId, run.workerStartedAt);
+        subtask.runs.push_back(std::move(run));
     }
     if (json.size() > 5) { // Records of earlier versions have no crashes.
         for (const auto &it : json.at(5)) {
-            subtask.crashes.push_back(decodeCrash(it));
+            subtask.crashes.push_back(decodeCrash(it, table));
         }
     }
     return subtask;
 }
 
+/// `subtasks` is the array of all subtasks, or the number of parts that hold them.
+static std::string encodeFirstRow(const JobRecord &record, Json subtasks)
+{
+    auto json = Json::array({static_cast<int>(record.phase), record.endedAt.count, std::move(subtasks)});
+    if (!record.failureReason.empty()) {
+        json.push_back(record.failureReason);
+    }
+    return dump(json);
+}
+
 std::string encodeRecord(const JobRecord &record)
 {
     Json occurrences = Json::array();
@@ -201,17 +270,71 @@
         for (const auto &subtasks : steps) {
             Json subtasksJson = Json::array();
             for (const auto &it : subtasks) {
-                subtasksJson.push_back(encodeSubtask(it));
+                subtasksJson.push_back(encodeSubtask(it, nullptr));
             }
             stepsJson.push_back(std::move(subtasksJson));
         }
         occurrences.push_back(std::move(stepsJson));
     }
-    auto json = Json::array({static_cast<int>(record.phase), record.endedAt.count, std::move(occurrences)});
-    if (!record.failureReason.empty()) {
-        json.push_back(record.failureReason);
+    return encodeFirstRow(record, std::move(occurrences));
+}
+
+/// The subtasks of all occurrences and steps in one sequence.
+template<typename Record>
+static auto flattened(Record &record)
+{
+    std::vector<decltype(&record.occurrences[0][0][0])> subtasks;
+    for (auto &steps : record.occurrences) {
+        for (auto &step : steps) {
+            for (auto &it : step) {
+                subtasks.push_back(&it);
+            }
+        }
+    }
+    return subtasks;
+}
+
+/// Index of the first subtask in part `part` of `parts`.
+static std::size_t firstOfPart(std::size_t part, std::size_t parts, std::size_t subtasks)
+{
+    return part * subtasks / parts;
+}
+
+static std::string encodePart(std::span<const SubtaskRecord *const> subtasks)
+{
+    WorkerTable table;
+    Json json = Json::array();
+    for (const auto *const it : subtasks) {
+        json.push_back(encodeSubtask(*it, &table));
+    }
+    return dump(Json::array({table.rows(), std::move(json)}));
+}
+
+RecordRows encodeRecordRows(const JobRecord &record, std::size_t maxRowBytes, std::size_t minParts)
+{
+    auto parts = minParts;
+    if (parts == 0) {
+        RecordRows single{.first = encodeRecord(record)};
+        if (single.first.size() <= maxRowBytes) {
+            return single;
+        }
+        parts = single.first.size() / maxRowBytes + 1;
+    }
+    const auto subtasks = flattened(record);
+    for (;; parts *= 2) {
+        parts = std::min(parts, subtasks.size());
+        RecordRows rows{.first = encodeFirstRow(record, parts)};
+        bool fits = true;
+        for (std::size_t i = 0; i < parts; ++i) {
+            const auto first = firstOfPart(i, parts, subtasks.size());
+            const auto end = firstOfPart(i + 1, parts, subtasks.size());
+            rows.parts.push_back(encodePart(std::span(subtasks).subspan(first, end - first)));
+            fits = fits && rows.parts.back().size() <= maxRowBytes;
+        }
+        if (fits || parts == subtasks.size()) {
+            return rows;
+        }
     }
-    return dump(json);
 }
 
 static std::optional<JobPhase> phaseOf(const Json &json)
@@ -223,10 +346,25 @@
     return static_cast<JobPhase>(phase);
 }
 
-std::optional<JobRecord> decodeRecord(const JobSpec &spec, std::string_view text)
+/// Throws `Json::exception` if the parts do not have exactly the subtasks of the record.
+static void decodeParts(JobRecord &record, std::span<const std::string> parts)
+{
+    const auto subtasks = flattened(record);
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const auto json = Json::parse(parts[part]);
+        const auto first = firstOfPart(part, parts.size(), subtasks.size());
+        const auto end = firstOfPart(part + 1, parts.size(), subtasks.size());
+        for (auto i = first; i < end; ++i) {
+            *subtasks[i] = decodeSubtask(json.at(1).at(i - first), &json.at(0));
+        }
+    }
+    record.parts = parts.size();
+}
+
+std::optional<JobRecord> decodeRecord(const JobSpec &spec, std::string_view first, std::span<const std::string> parts)
 {
     try {
-        const auto json = Json::parse(text);
+        const auto json = Json::parse(first);
         auto record = emptyRecord(spec);
         const auto phase = phaseOf(json.at(0));
         if (!phase) {
@@ -235,10 +373,17 @@
         record.phase = *phase;
         record.endedAt = {toNumber(json.at(1))};
         record.failureReason = json.size() > 3 ? json.at(3).get<std::string>() : std::string();
+        if (const auto &subtasks = json.at(2); subtasks.is_number()) {
+            if (parts.empty() || toNumber(subtasks) != static_cast<std::int64_t>(parts.size())) {
+                return std::nullopt;
+            }
+            decodeParts(record, parts);
+            return record;
+        }
         for (std::size_t k = 0; k < record.occurrences.size(); ++k) {
             for (std::size_t step = 0; step < record.occurrences[k].size(); ++step) {
                 for (std::size_t i = 0; i < record.occurrences[k][step].size(); ++i) {
-                    record.occurrences[k][step][i] = decodeSubtask(json.at(2).at(k).at(step).at(i));
+                    record.occurrences[k][step][i] = decodeSubtask(json.at(2).at(k).at(step).at(i), nullptr);
                 }
             }
         }
--- a/src/jobs/codec.hpp
+++ b/src/jobs/codec.hpp
@@ -4,8 +4,10 @@
 #include "jobs/job.hpp"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hibiscusbridge::jobs
 {
@@ -15,8 +17,19 @@
 std::optional<JobSpec> decodeSpec(std::string_view id, std::string_view text);
 
 std::string encodeRecord(const JobRecord &record);
-/// Returns nullopt if the text does not match the job's steps.
-std::optional<JobRecord> decodeRecord(const JobSpec &spec, std::string_view text);
+
+/// A record as it is stored: the first row has the outcome, and the subtasks too unless they are in parts of their own.
+struct RecordRows {
+    std::string first;
+    /// Equal shares of the subtasks, in their order.
+    std::vector<std::string> parts;
+};
+
+/// Encodes the record into rows of at most `maxRowBytes`, with at least `minParts` parts. A single subtask that exceeds the limit is
+/// not divided.
+RecordRows encodeRecordRows(const JobRecord &record, std::size_t maxRowBytes, std::size_t minParts);
+/// Returns nullopt if the rows do not match the job's steps or a part is missing.
+std::optional<JobRecord> decodeRecord(const JobSpec &spec, std::string_view first, std::span<const std::string> parts = {});
 /// What callers are told of a job.
 struct JobOutcome {
     JobPhase phase = JobPhase::Queued;
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -3,6 +3,7 @@
 
 #include "helpers/millis.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -183,6 +184,8 @@
     std::vector<std::vector<std::vector<SubtaskRecord>>> occurrences;
     Millis endedAt; ///< wall clock; 0 until the job reaches a final phase
     std::string failureReason; ///< empty unless the job has failed
+    /// Rows beyond the first that the record was read from; 0 if it is in a single row.
+    std::size_t parts = 0;
 
     bool operator==(const JobRecord &) const = default;
 };
--- a/src/ports/store.hpp
+++ b/src/ports/store.hpp
@@ -3,6 +3,7 @@
 
 #include "helpers/millis.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -90,6 +91,15 @@
     int limit = 500;
 };
 
+/// What the store takes in one transaction. Sizes are those of the values before the transport encodes them.
+struct StoreLimits {
+    std::size_t rowBytes = 65'536;
+    /// All values of a transaction. The platform takes calls of 1 MB, in which values are encoded in base64.
+    std::size_t transactionBytes = 700'000;
+    /// Conditions, puts and removals of a transaction.
+    std::size_t transactionEntries = 100;
+};
+
 /// Each callback runs exactly once, and never from within the call.
 struct StorePort {
     std::function<void(RowTransaction, Millis timeout, std::function<void(CommitResult)>)> commit;
--- a/src/scheduling/changedjobs.cpp
+++ b/src/scheduling/changedjobs.cpp
@@ -12,16 +12,16 @@
     }
 }
 
-std::vector<std::string> ChangedJobs::take(std::size_t limit)
+const std::string *ChangedJobs::oldest() const
 {
-    std::vector<std::string> ids;
-    while (!m_order.empty() && ids.size() < limit) {
-        const auto oldest = m_order.extract(m_order.begin());
-        m_numbers.erase(oldest.mapped());
-        m_inFlight.emplace(oldest.mapped(), oldest.key());
-        ids.push_back(oldest.mapped());
-    }
-    return ids;
+    return m_order.empty() ? nullptr : &m_order.begin()->second;
+}
+
+void ChangedJobs::takeOldest()
+{
+    const auto oldest = m_order.extract(m_order.begin());
+    m_numbers.erase(oldest.mapped());
+    m_inFlight.emplace(oldest.mapped(), oldest.key());
 }
 
 void ChangedJobs::onCommitFailed()
--- a/src/scheduling/changedjobs.hpp
+++ b/src/scheduling/changedjobs.hpp
@@ -1,11 +1,9 @@
 // Jobs whose progress has changed and is not in the store yet, in the order of their changes.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 namespace hibiscusbridge::jobs
 {
@@ -30,9 +28,10 @@
     {
         return m_latest;
     }
-    /// Moves up to `limit` jobs with the oldest changes into the transaction in flight and returns their ids. Must not be called while
-    /// a transaction is in flight.
-    std::vector<std::string> take(std::size_t limit);
+    /// The job with the oldest change; null if there is none.
+    const std::string *oldest() const;
+    /// Moves the job with the oldest change into the next transaction. Must not be called while a transaction is in flight.
+    void takeOldest();
     /// All changes up to this number are in the store or part of the transaction in flight.
     std::uint64_t takenUpTo() const
     {
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -1,4 +1,5 @@
 // Decisions of a pool: placement, stops, throttle changes, records to commit and reports.
+#include "helpers/ids.hpp"
 #include "helpers/log.hpp"
 #include "jobs/codec.hpp"
 #include "scheduling/order.hpp"
@@ -6,6 +7,7 @@
 #include "scheduling/pool.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace hibiscusbridge::jobs
 {
@@ -29,6 +31,8 @@
 
 /// A suspect keeps its worker from other starts for a while, so at most one of this many workers runs one at a time.
 constexpr std::size_t workersPerProbation = 2;
+/// Longer checkpoints are not stored: a subtask's progress must fit into a row.
+constexpr std::size_t maxStoredCheckpoint = 4'096;
 /// Window for measuring the arrival rate of work; short compared with a load surge of a few seconds.
 constexpr Millis arrivalWindow{800};
 
@@ -505,7 +509,7 @@
                 to.done = from.done;
                 to.failedRuns = from.failedRuns;
                 to.lastRun = from.lastRun;
-                to.checkpoint = from.done ? std::string() : from.checkpoint;
+                to.checkpoint = from.done || from.checkpoint.size() > maxStoredCheckpoint ? std::string() : from.checkpoint;
                 to.crashes = from.done ? std::vector<CrashRecord>() : from.crashes;
                 for (const auto &it : from.runs) {
                     to.runs.push_back({it->number, it->worker->entry.id, it->incarnationStart});
@@ -516,6 +520,24 @@
     return record;
 }
 
+/// A new owner then starts the subtasks from their beginning.
+static void forgetCheckpoints(JobRecord &record)
+{
+    for (auto &steps : record.occurrences) {
+        for (auto &step : steps) {
+            for (auto &it : step) {
+                it.checkpoint.clear();
+            }
+        }
+    }
+}
+
+/// Rows are split below the limit, because it may count a value after its encoding in base64.
+static std::size_t splitRowBytes(const StoreLimits &limits)
+{
+    return limits.rowBytes / 4 * 3;
+}
+
 static void forEachRun(Job &job, const std::function<void(Run &)> &fn)
 {
     for (auto &occurrence : job.occurrences) {
@@ -529,16 +551,57 @@
     }
 }
 
-std::vector<JobRow> Pool::takeRecords(std::size_t limit)
+static std::size_t bytesOf(std::span<const JobRow> rows)
+{
+    return std::accumulate(
+        rows.begin(), rows.end(), std::size_t{0}, [](std::size_t sum, const JobRow &it) { return sum + it.value.size(); });
+}
+
+std::vector<JobRow> Pool::changedRows(Job &job, const StoreLimits &limits)
+{
+    auto record = recordOf(job);
+    auto encoded = encodeRecordRows(record, splitRowBytes(limits), job.recordParts.size());
+    const auto bytes = std::accumulate(
+        encoded.parts.begin(), encoded.parts.end(), encoded.first.size(), [](std::size_t sum, const auto &it) { return sum + it.size(); });
+    if (bytes > limits.transactionBytes) {
+        forgetCheckpoints(record);
+        encoded = encodeRecordRows(record, splitRowBytes(limits), job.recordParts.size());
+    }
+    std::vector<JobRow> rows{{job.spec.id, 0, std::move(encoded.first)}};
+    if (job.recordParts.size() != encoded.parts.size()) {
+        job.recordParts.assign(encoded.parts.size(), std::nullopt);
+    }
+    for (std::size_t i = 0; i < encoded.parts.size(); ++i) {
+        if (const auto hash = stableHash(encoded.parts[i]); job.recordParts[i] != hash) {
+            job.recordParts[i] = hash;
+            rows.push_back({job.spec.id, i + 1, std::move(encoded.parts[i])});
+        }
+    }
+    return rows;
+}
+
+std::vector<JobRow> Pool::takeRecords(std::size_t maxRows, const StoreLimits &limits)
 {
     std::vector<JobRow> rows;
-    for (const auto &id : m_changed.take(limit)) {
-        const auto it = m_jobs.find(id);
+    std::size_t bytes = 0;
+    while (const auto *const id = rows.size() < maxRows ? m_changed.oldest() : nullptr) {
+        const auto it = m_jobs.find(*id);
         if (it == m_jobs.end()) {
+            m_changed.takeOldest();
             continue;
         }
-        rows.push_back({id, encodeRecord(recordOf(*it->second))});
-        forEachRun(*it->second, [](Run &run) { run.phase = run.phase == RunPhase::Placed ? RunPhase::Committing : run.phase; });
+        auto &job = *it->second;
+        const auto storedParts = job.recordParts;
+        auto changed = changedRows(job, limits);
+        const auto size = bytesOf(changed);
+        if (!rows.empty() && (rows.size() + changed.size() > maxRows || bytes + size > limits.transactionBytes)) {
+            job.recordParts = storedParts;
+            break;
+        }
+        bytes += size;
+        std::move(changed.begin(), changed.end(), std::back_inserter(rows));
+        forEachRun(job, [](Run &run) { run.phase = run.phase == RunPhase::Placed ? RunPhase::Committing : run.phase; });
+        m_changed.takeOldest();
     }
     std::erase_if(m_unackedWorkers, [this](const std::string &id) {
         const auto it = m_workers.find(id);
@@ -716,6 +779,7 @@
     for (const auto &[id, change] : m_changed.inFlight()) {
         if (const auto it = m_jobs.find(id); it != m_jobs.end()) {
             forEachRun(*it->second, [](Run &run) { run.phase = run.phase == RunPhase::Committing ? RunPhase::Placed : run.phase; });
+            it->second->recordParts.assign(it->second->recordParts.size(), std::nullopt);
         }
     }
     m_changed.onCommitFailed();
@@ -768,22 +832,26 @@
     return orders;
 }
 
-std::vector<std::string> Pool::takeExpired(Millis endedBefore, std::size_t limit)
+std::vector<ExpiredJob> Pool::takeExpired(Millis endedBefore, std::size_t maxRows)
 {
-    std::vector<std::string> ids;
+    std::vector<ExpiredJob> expired;
+    std::size_t rows = 0;
     for (const auto &[id, job] : m_jobs) {
-        if (ids.size() >= limit) {
-            break;
+        if (!isFinal(job->phase) || job->runCount > 0 || job->endedAt >= endedBefore || m_changed.contains(id)) {
+            continue;
         }
-        if (isFinal(job->phase) && job->runCount == 0 && job->endedAt < endedBefore && !m_changed.contains(id)) {
-            ids.push_back(id);
+        const ExpiredJob it{id, job->recordParts.size()};
+        if (rows + rowCount(it) > maxRows) {
+            break;
         }
+        rows += rowCount(it);
+        expired.push_back(it);
     }
-    for (const auto &id : ids) {
-        m_active.erase(m_jobs[id].get());
-        m_jobs.erase(id);
+    for (const auto &it : expired) {
+        m_active.erase(m_jobs[it.id].get());
+        m_jobs.erase(it.id);
     }
-    return ids;
+    return expired;
 }
 
 double Pool::durationRatio(const JobSpec &spec) const
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -70,6 +70,7 @@
         job.endedAt = record->endedAt;
         job.cancelled = record->phase == JobPhase::Cancelled;
         job.failureReason = record->failureReason;
+        job.recordParts.resize(record->parts);
     }
     const auto steps = spec.steps.size();
     for (int k = 0; k < occurrenceCount(spec); ++k) {
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "jobs/job.hpp"
+#include "ports/store.hpp"
 #include "ports/workers.hpp"
 #include "scheduling/changedjobs.hpp"
 #include "scheduling/crashes.hpp"
@@ -136,6 +137,9 @@
         bool requestInFlight = false;
     };
     std::map<int, Advice> advice;
+    /// Hashes of the parts of the record that are in the store or in flight. The number of parts never falls, so that no part is
+    /// left behind in the store; a part that is not known to be stored has no hash.
+    std::vector<std::optional<std::uint64_t>> recordParts;
 };
 
 /// A worker id across its successive incarnations.
@@ -184,11 +188,26 @@
     std::vector<std::string> workers;
 };
 
+/// One row of a job's record.
 struct JobRow {
     std::string id;
+    std::size_t part = 0; ///< 0 is the first row
     std::string value;
 };
 
+/// A job whose rows are to be removed from the store.
+struct ExpiredJob {
+    std::string id;
+    /// Parts of its record, besides the first row.
+    std::size_t parts = 0;
+};
+
+/// Rows of the job in the store: submission, cancellation and record.
+constexpr std::size_t rowCount(const ExpiredJob &job)
+{
+    return 3 + job.parts;
+}
+
 class Pool
 {
 public:
@@ -223,8 +242,9 @@
     // Decisions.
     /// `mayMove` permits stopping available subtasks; it is false while another owner may have taken over.
     void schedule(Millis now, Millis wall, bool mayMove);
-    /// Returns up to `limit` rows to commit. Their runs stay in `Committing` until `onRecordsCommitted` or `onCommitFailed`.
-    std::vector<JobRow> takeRecords(std::size_t limit);
+    /// Returns rows to commit, about `maxRows` at most, that fit into a transaction; all rows of a job are in the same one. Their runs
+    /// stay in `Committing` until `onRecordsCommitted` or `onCommitFailed`.
+    std::vector<JobRow> takeRecords(std::size_t maxRows, const StoreLimits &limits = {});
     /// Call after the rows of the last `takeRecords` were committed. Returns the starts to send.
     PoolOrders onRecordsCommitted(Millis now);
     void onCommitFailed();
@@ -233,8 +253,8 @@
     /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
     bool mayStillSend(const StartOrder &order) const;
     std::optional<AdviceRequest> nextAdviceRequest(Millis now);
-    /// Removes final jobs that ended before `endedBefore` (wall clock) and returns their ids.
-    std::vector<std::string> takeExpired(Millis endedBefore, std::size_t limit);
+    /// Removes final jobs that ended before `endedBefore` (wall clock), with up to `maxRows` rows in the store.
+    std::vector<ExpiredJob> takeExpired(Millis endedBefore, std::size_t maxRows);
 
     // Views.
     const std::map<std::string, std::unique_ptr<Worker>> &workers() const
@@ -285,6 +305,8 @@
     Subtask &subtaskOf(const Run &run) const;
     static const StepSpec &stepOf(const Run &run);
     void markChanged(Job &job);
+    /// The rows of the job's record that differ from those in the store.
+    static std::vector<JobRow> changedRows(Job &job, const StoreLimits &limits);
     Run &addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker);
     /// Removes a run that can no longer be on its worker.
     void dropRun(Run &run, Millis now, const char *reason);
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -11,8 +11,12 @@
 namespace hibiscusbridge::jobs
 {
 
-/// The store accepts 100 entries per transaction, and each row takes two: a condition and a put.
-constexpr std::size_t maxRowsPerCommit = 48;
+/// Each row takes two entries of a transaction, a condition and a put, and the claim of the shard takes one.
+static std::size_t maxRowsPerCommit(const StoreLimits &limits)
+{
+    return (limits.transactionEntries - 1) / 2;
+}
+
 constexpr Millis readTimeout{1'500};
 constexpr Millis readRetryDelay{150};
 /// Interval between the requests to a worker that does not respond. They return at once instead of waiting for an end.
@@ -36,8 +40,6 @@
 constexpr double renewalBurstSeconds = 0.25;
 /// Retry delay when the renewal budget is exhausted.
 constexpr Millis renewalBudgetRetryDelay{15};
-/// A job has up to three rows, and the store accepts 100 entries per transaction.
-constexpr std::size_t maxExpiredPerCommit = 30;
 /// Events within this time are handled by a single run.
 constexpr Millis runDelay{3};
 /// A run iterates over all workers, so the run delay grows by one millisecond per this many workers.
@@ -92,7 +94,7 @@
         }
         std::string last;
         for (const auto &it : result.rows) {
-            m_progress[it.key.key] = it.value;
+            m_progress[std::string(progressJob(it.key.key))].push_back(it.value);
             m_progressVersions[it.key.key] = it.version;
             last = it.key.key;
         }
@@ -137,7 +139,8 @@
         }
         std::optional<JobRecord> record;
         if (const auto progress = m_progress.find(it.key.key); progress != m_progress.end()) {
-            record = decodeRecord(*spec, progress->second);
+            const std::span<const std::string> stored(progress->second);
+            record = decodeRecord(*spec, stored.front(), stored.subspan(1));
             if (!record) {
                 logEvent(LogLevel::Error, "progress_unreadable", {{"pool", m_name}, {"job", it.key.key}});
                 continue;
@@ -493,18 +496,19 @@
         }
         return;
     }
-    auto rows = m_pool->takeRecords(maxRowsPerCommit);
+    auto rows = m_pool->takeRecords(maxRowsPerCommit(m_ports.limits), m_ports.limits);
     if (rows.empty()) {
         return sendOrders(m_pool->onRecordsCommitted(now));
     }
     RowTransaction tx;
     tx.conditions.push_back(m_ports.condition());
-    for (const auto &it : rows) {
-        const auto version = m_progressVersions.find(it.id);
+    for (auto &it : rows) {
+        const auto key = progressKey(m_name, it.id, it.part);
+        const auto version = m_progressVersions.find(key.key);
         // A transaction without an answer may be applied late and must not overwrite newer rows, so each row is conditional on
         // the version it replaces.
-        tx.conditions.push_back({progressKey(m_name, it.id), version != m_progressVersions.end() ? version->second : 0});
-        tx.puts.push_back({progressKey(m_name, it.id), it.value});
+        tx.conditions.push_back({key, version != m_progressVersions.end() ? version->second : 0});
+        tx.puts.push_back({key, std::move(it.value)});
     }
     m_committing = true;
     m_lastCommitAt = now;
@@ -520,7 +524,7 @@
     m_committing = false;
     if (result.outcome == CommitOutcome::Applied) {
         for (const auto &it : rows) {
-            m_progressVersions[it.id] = result.version;
+            m_progressVersions[progressKey(m_name, it.id, it.part).key] = result.version;
         }
         sendOrders(m_pool->onRecordsCommitted(m_ports.clock.boot()));
         return scheduleRun();
@@ -546,20 +550,22 @@
 
 void PoolOwner::expire()
 {
-    const auto ids = m_pool->takeExpired(m_ports.clock.wall() - m_times.jobRetention, maxExpiredPerCommit);
-    if (ids.empty()) {
+    const auto expired = m_pool->takeExpired(m_ports.clock.wall() - m_times.jobRetention, m_ports.limits.transactionEntries - 1);
+    if (expired.empty()) {
         return;
     }
     RowTransaction tx;
     tx.spansParts = true;
     tx.conditions.push_back(m_ports.condition());
-    for (const auto &it : ids) {
-        tx.removes.push_back(submissionKey(m_name, it));
-        tx.removes.push_back(cancellationKey(m_name, it));
-        tx.removes.push_back(progressKey(m_name, it));
-        m_progressVersions.erase(it);
+    for (const auto &it : expired) {
+        tx.removes.push_back(submissionKey(m_name, it.id));
+        tx.removes.push_back(cancellationKey(m_name, it.id));
+        for (std::size_t part = 0; part <= it.parts; ++part) {
+            tx.removes.push_back(progressKey(m_name, it.id, part));
+            m_progressVersions.erase(tx.removes.back().key);
+        }
     }
-    m_ports.store.commit(std::move(tx), m_times.commitTimeout, [name = m_name, n = ids.size()](const CommitResult &result) {
+    m_ports.store.commit(std::move(tx), m_times.commitTimeout, [name = m_name, n = expired.size()](const CommitResult &result) {
         logEvent(LogLevel::Info,
                  "jobs_expired",
                  {{"pool", name}, {"jobs", n}, {"applied", result.outcome == CommitOutcome::Applied}, {"error", result.error}});
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -43,6 +43,7 @@
 public:
     struct Ports {
         StorePort store;
+        StoreLimits limits;
         WorkerPort workers;
         AdvicePort advice;
         TimerPort timers;
@@ -123,7 +124,8 @@
     bool m_submissionsRead = false;
     bool m_progressRead = false;
     std::vector<Row> m_initialSubmissions;
-    std::map<std::string, std::string> m_progress;
+    /// Rows of each job's record, in order, until the jobs are loaded.
+    std::map<std::string, std::vector<std::string>> m_progress;
     std::map<std::string, std::uint64_t> m_progressVersions;
     std::map<std::string, RenewalState> m_renewals;
     /// Token bucket: number of renewals that may be sent, and the time of its last refill.
--- a/src/shards/rows.cpp
+++ b/src/shards/rows.cpp
@@ -3,11 +3,16 @@
 
 #include "helpers/ids.hpp"
 
+#include <algorithm>
+
 namespace hibiscusbridge::jobs
 {
 
 constexpr std::uint64_t submissionTables = 64;
 constexpr std::string_view cancellationSuffix = "/cancel";
+constexpr char partSeparator = '/';
+/// A job has up to 5,000 subtasks, and a part has at least one of them.
+constexpr std::size_t partDigits = 4;
 
 std::string submissionTable(std::string_view shard)
 {
@@ -29,9 +34,20 @@
     return {submissionTable(shard), submissionPart(shard), std::string(job) + std::string(cancellationSuffix)};
 }
 
-RowKey progressKey(std::string_view shard, std::string_view job)
+RowKey progressKey(std::string_view shard, std::string_view job, std::size_t part)
+{
+    std::string key(job);
+    if (part > 0) {
+        auto digits = std::to_string(part);
+        digits.insert(0, partDigits - std::min(digits.size(), partDigits), '0');
+        key += partSeparator + digits;
+    }
+    return {progressTable, std::string(shard), std::move(key)};
+}
+
+std::string_view progressJob(std::string_view key)
 {
-    return {progressTable, std::string(shard), std::string(job)};
+    return key.substr(0, key.find(partSeparator));
 }
 
 std::string_view cancelledJob(std::string_view key)
--- a/src/shards/rows.hpp
+++ b/src/shards/rows.hpp
@@ -3,6 +3,7 @@
 
 #include "ports/store.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -19,7 +20,10 @@
 
 RowKey submissionKey(std::string_view shard, std::string_view job);
 RowKey cancellationKey(std::string_view shard, std::string_view job);
-RowKey progressKey(std::string_view shard, std::string_view job);
+/// Part 0 is the first row of the job's record.
+RowKey progressKey(std::string_view shard, std::string_view job, std::size_t part = 0);
+/// Returns the job id in the key of a progress row. The keys of a record are in the order of its parts.
+std::string_view progressJob(std::string_view key);
 /// Returns the job id in the key of a cancellation; empty for the key of a submission.
 std::string_view cancelledJob(std::string_view key);
 
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -68,6 +68,21 @@
     return writesPerSecond == 0 || ++m_writesInSecond <= writesPerSecond;
 }
 
+bool FakeStore::isWithinLimits(const RowTransaction &tx) const
+{
+    // Keys, punctuation and base64, which turns three bytes into four.
+    constexpr std::size_t entryBytes = 120;
+    const auto entries = tx.conditions.size() + tx.puts.size() + tx.removes.size();
+    auto bytes = entries * entryBytes;
+    for (const auto &it : tx.puts) {
+        if (it.value.size() > maxRowBytes) {
+            return false;
+        }
+        bytes += it.value.size() * 4 / 3;
+    }
+    return entries <= maxEntries && bytes <= maxCallBytes;
+}
+
 void FakeStore::enqueue(const RowTransaction &tx, Millis timeout, const std::function<void(CommitResult)> &done)
 {
     auto &busyUntil = m_partBusyUntil[tx.puts.empty() ? std::string() : tx.puts.front().key.part];
@@ -153,6 +168,10 @@
             if (refusing) {
                 return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 503"});
             }
+            if (!isWithinLimits(tx)) {
+                ++oversized;
+                return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 413"});
+            }
             if (!isWithinRate()) {
                 return done({.outcome = CommitOutcome::Refused, .error = "HTTP status 429"});
             }
--- a/tests/fakes/fakestore.hpp
+++ b/tests/fakes/fakestore.hpp
@@ -62,6 +62,12 @@
     Millis maxPartWait{1'000};
     /// Transactions of all clients in one second; further ones are rejected. 0 disables the limit.
     int writesPerSecond = 0;
+    /// Limits of a transaction, as the platform's store has them.
+    std::size_t maxRowBytes = 65'536;
+    std::size_t maxCallBytes = 1'000'000;
+    std::size_t maxEntries = 100;
+    /// Transactions that exceeded one of them.
+    int oversized = 0;
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>;
@@ -73,6 +79,7 @@
 
     CommitResult apply(const RowTransaction &tx);
     bool isWithinRate();
+    bool isWithinLimits(const RowTransaction &tx) const;
     /// Applies the transaction when its part comes to it.
     void enqueue(const RowTransaction &tx, Millis timeout, const std::function<void(CommitResult)> &done);
     ReadResult readNow(const RowRange &range) const;
