Take no run for lost by a list of ends that was full

Cause: a worker lists 500 ends at a time, and the others once these are acknowledged. A run that was neither running nor among the listed ends counted as lost: at once if a former owner had recorded it, after two lists if this owner had started it. The latter needs no change of owner, only ends that can't be acknowledged for a while.

Change: the decoder of a worker's list says whether its ends were full, and such a list says nothing about runs that are in neither list. That holds for inherited and confirmed runs, for starts without an answer, and for unknown runs, which keep their room on the worker.

--- a/src/ports/workers.hpp
+++ b/src/ports/workers.hpp
@@ -150,6 +150,8 @@
     std::int64_t incarnationStart = 0; ///< 0 if not reported
     std::vector<RunReport> running;
     std::vector<RunEndReport> ended;
+    /// `ended` may be only the oldest ends that are not acknowledged; a run that is in neither list may have ended too.
+    bool moreEnded = false;
     std::string error;
 };
 
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -472,10 +472,10 @@
     }
     std::vector<Run *> neverStarted;
     for (Run *const it : std::vector<Run *>(worker.runs)) {
-        if (listed.contains(it)) {
-            continue;
+        if (listed.contains(it) || result.moreEnded) {
+            continue; // Once the listed ends are acknowledged, the worker lists the others.
         }
-        if (it->phase == RunPhase::Inherited && firstList) {
+        if (it->phase == RunPhase::Inherited) {
             // The worker has accepted this owner's fencing token, so it rejects the previous owner's starts from now on.
             dropRun(*it, now, "not-listed");
         } else if (it->phase == RunPhase::Starting && !it->unsent && !it->orderInFlight && it->startFence < renewalFence) {
@@ -490,9 +490,10 @@
         withdraw(*it, now, "never-started");
     }
     std::erase_if(m_unknownRuns, [&](const UnknownRun &unknown) {
-        return unknown.workerId == workerId && std::none_of(result.running.begin(), result.running.end(), [&](const RunReport &run) {
-                   return run.run == unknown.run && run.subtask == unknown.subtask;
-               });
+        return unknown.workerId == workerId && !result.moreEnded
+               && std::none_of(result.running.begin(), result.running.end(), [&](const RunReport &run) {
+                      return run.run == unknown.run && run.subtask == unknown.subtask;
+                  });
     });
 }
 
--- a/tests/fakes/fakeworkers.cpp
+++ b/tests/fakes/fakeworkers.cpp
@@ -295,11 +295,13 @@
         RenewResult result{.outcome = fenced ? OrderOutcome::Fenced : OrderOutcome::Accepted};
         result.workerClock = clockOf(worker) * 98 / 100;
         result.incarnationStart = worker.registration.incarnationStart;
-        result.ended = worker.ended;
-        for (const auto &it : fenced ? std::vector<RunEndReport>() : worker.ended) {
+        result.ended.assign(worker.ended.begin(),
+                            worker.ended.begin() + static_cast<std::ptrdiff_t>(std::min(worker.ended.size(), maxListedEnds)));
+        result.moreEnded = result.ended.size() == maxListedEnds;
+        for (const auto &it : fenced ? std::vector<RunEndReport>() : result.ended) {
             worker.listedAt.try_emplace(it.number, m_loop.now());
+            worker.reportedEnds = std::max(worker.reportedEnds, it.number);
         }
-        worker.reportedEnds = fenced ? worker.reportedEnds : worker.ends;
         for (const auto &[subtask, running] : worker.running) {
             result.running.push_back({subtask, running.run, "", static_cast<int>(fullProgress), 0});
         }
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -65,6 +65,8 @@
     /// Workers that refuse starts that exceed their capacity.
     std::set<std::string> guarding;
     Millis shrinkGrace{3'000};
+    /// Ends that a worker lists at a time.
+    std::size_t maxListedEnds = 500;
     /// Actual duration of runs as a percentage of the estimate.
     int durationPercent = 100;
 
