Forget an ended job only when its rows are removed

Cause: the owner forgot jobs whose retention was over before it asked the store to remove their rows, and only logged a removal that failed. After a loss of history it reads the submissions again, without the progress, and took those of forgotten jobs for new ones. The same can happen without a failure: a read of the submissions takes several pages, and a job that is removed between its page and the last one was taken for new as well.

Change: a job is forgotten when its removal is confirmed, and a removal that failed is tried again. Submissions that had been received before the table is read again are not new, whether or not their jobs are still known.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -832,9 +832,9 @@
     return orders;
 }
 
-std::vector<ExpiredJob> Pool::takeExpired(Millis endedBefore, std::size_t maxRows)
+std::vector<ExpiredJob> Pool::expired(Millis endedBefore, std::size_t maxRows) const
 {
-    std::vector<ExpiredJob> expired;
+    std::vector<ExpiredJob> jobs;
     std::size_t rows = 0;
     for (const auto &[id, job] : m_jobs) {
         if (!isFinal(job->phase) || job->runCount > 0 || job->endedAt >= endedBefore || m_changed.contains(id)) {
@@ -845,13 +845,19 @@
             break;
         }
         rows += rowCount(it);
-        expired.push_back(it);
+        jobs.push_back(it);
     }
-    for (const auto &it : expired) {
-        m_active.erase(m_jobs[it.id].get());
-        m_jobs.erase(it.id);
+    return jobs;
+}
+
+void Pool::forget(std::span<const ExpiredJob> jobs)
+{
+    for (const auto &it : jobs) {
+        if (const auto job = m_jobs.find(it.id); job != m_jobs.end() && job->second->runCount == 0) {
+            m_active.erase(job->second.get());
+            m_jobs.erase(job);
+        }
     }
-    return expired;
 }
 
 double Pool::durationRatio(const JobSpec &spec) const
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -253,8 +253,10 @@
     /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
     bool mayStillSend(const StartOrder &order) const;
     std::optional<AdviceRequest> nextAdviceRequest(Millis now);
-    /// Removes final jobs that ended before `endedBefore` (wall clock), with up to `maxRows` rows in the store.
-    std::vector<ExpiredJob> takeExpired(Millis endedBefore, std::size_t maxRows);
+    /// Final jobs that ended before `endedBefore` (wall clock), with up to `maxRows` rows in the store.
+    std::vector<ExpiredJob> expired(Millis endedBefore, std::size_t maxRows) const;
+    /// Call after the rows of the jobs were removed. A job without rows that is still known can't start again.
+    void forget(std::span<const ExpiredJob> jobs);
 
     // Views.
     const std::map<std::string, std::unique_ptr<Worker>> &workers() const
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -59,7 +59,7 @@
                     m_ports.clock,
                     submissionTable(m_name),
                     submissionPart(m_name),
-                    {.replaced = [this](const std::vector<Row> &rows) { loadSubmissions(rows, !m_submissionsRead); },
+                    {.replaced = [this](std::vector<Row> rows) { onSubmissionsRead(std::move(rows)); },
                      .changed =
                          [this](const std::vector<Row> &rows) {
                              loadSubmissions(rows, false);
@@ -108,6 +108,13 @@
     });
 }
 
+void PoolOwner::onSubmissionsRead(std::vector<Row> rows)
+{
+    // Rows that were received before are those of jobs that this owner knows, or that it has removed while the rows were being read.
+    std::erase_if(rows, [known = m_submissions.receivedBeforeRead()](const Row &it) { return it.version <= known; });
+    loadSubmissions(rows, !m_submissionsRead);
+}
+
 void PoolOwner::loadSubmissions(const std::vector<Row> &rows, bool initial)
 {
     if (!m_loaded) {
@@ -550,7 +557,10 @@
 
 void PoolOwner::expire()
 {
-    const auto expired = m_pool->takeExpired(m_ports.clock.wall() - m_times.jobRetention, m_ports.limits.transactionEntries - 1);
+    if (m_expiring) {
+        return;
+    }
+    auto expired = m_pool->expired(m_ports.clock.wall() - m_times.jobRetention, m_ports.limits.transactionEntries - 1);
     if (expired.empty()) {
         return;
     }
@@ -562,14 +572,32 @@
         tx.removes.push_back(cancellationKey(m_name, it.id));
         for (std::size_t part = 0; part <= it.parts; ++part) {
             tx.removes.push_back(progressKey(m_name, it.id, part));
-            m_progressVersions.erase(tx.removes.back().key);
         }
     }
-    m_ports.store.commit(std::move(tx), m_times.commitTimeout, [name = m_name, n = expired.size()](const CommitResult &result) {
-        logEvent(LogLevel::Info,
-                 "jobs_expired",
-                 {{"pool", name}, {"jobs", n}, {"applied", result.outcome == CommitOutcome::Applied}, {"error", result.error}});
-    });
+    m_expiring = true;
+    m_ports.store.commit(
+        std::move(tx), m_times.commitTimeout, [this, alive = m_alive, expired = std::move(expired)](const CommitResult &result) {
+            if (*alive) {
+                onExpired(expired, result);
+            }
+        });
+}
+
+/// Jobs whose removal has failed, or may have, stay known: read again from the store without their progress, they would run again.
+void PoolOwner::onExpired(std::span<const ExpiredJob> jobs, const CommitResult &result)
+{
+    m_expiring = false;
+    const bool applied = result.outcome == CommitOutcome::Applied;
+    logEvent(LogLevel::Info, "jobs_expired", {{"pool", m_name}, {"jobs", jobs.size()}, {"applied", applied}, {"error", result.error}});
+    if (!applied) {
+        return;
+    }
+    for (const auto &it : jobs) {
+        for (std::size_t part = 0; part <= it.parts; ++part) {
+            m_progressVersions.erase(progressKey(m_name, it.id, part).key);
+        }
+    }
+    m_pool->forget(jobs);
 }
 
 std::string PoolOwner::status() const
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,7 @@
     };
 
     void readProgress(const std::string &from);
+    void onSubmissionsRead(std::vector<Row> rows);
     void loadSubmissions(const std::vector<Row> &rows, bool initial);
     void updateWorkers();
     void scheduleRun();
@@ -111,6 +113,7 @@
     void commit(Millis now);
     void onCommitted(const std::vector<JobRow> &rows, const CommitResult &result);
     void expire();
+    void onExpired(std::span<const ExpiredJob> jobs, const CommitResult &result);
     void scheduleTick();
     std::optional<OldestUnackedEnd> oldestUnackedEnd(Millis now) const;
     void reportAckDelay();
@@ -132,6 +135,8 @@
     double m_renewalBudget = 0;
     Millis m_renewalBudgetAt;
     bool m_committing = false;
+    /// A removal of expired jobs is under way.
+    bool m_expiring = false;
     Millis m_lastCommitAt;
     bool m_runScheduled = false;
     bool m_commitTimer = false;
--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -90,6 +90,7 @@
         }
         if (result.outcome == ReadOutcome::HistoryLost) {
             logEvent(LogLevel::Warn, "history_lost", {{"table", m_table}, {"version", m_version}});
+            m_receivedBeforeRead = m_version;
             return start();
         }
         if (result.outcome != ReadOutcome::Answered) {
--- a/src/shards/workerdirectory.hpp
+++ b/src/shards/workerdirectory.hpp
@@ -48,6 +48,12 @@
         return m_confirmedAt;
     }
 
+    /// All changes up to this version had been received when the table was last read again; 0 until then.
+    std::uint64_t receivedBeforeRead() const
+    {
+        return m_receivedBeforeRead;
+    }
+
 private:
     void readPage(const std::string &from);
     void follow();
@@ -61,6 +67,7 @@
     Callbacks m_callbacks;
     std::vector<Row> m_rows;
     std::uint64_t m_version = 0;
+    std::uint64_t m_receivedBeforeRead = 0;
     bool m_firstPage = true;
     bool m_current = false;
     Millis m_currentAsOf;
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -203,6 +203,26 @@
     CHECK_FALSE(cluster.owner().empty());
 }
 
+TEST_CASE("jobs that expire while the submissions are read again do not run again")
+{
+    // More submissions than a page holds: the first page is older than the removals, and the read ends after them.
+    JobCluster cluster(1, 4);
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 1'100; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(1, 200, {50})}));
+        cluster.loop.advance({5});
+    }
+    cluster.loop.advance({170'000});
+    REQUIRE(cluster.accepted.size() == 1'100);
+    cluster.store.latency = {400};
+    for (int i = 0; i < 60; ++i) {
+        cluster.loop.advance({1'700});
+        cluster.store.discardHistory();
+    }
+    CHECK(cluster.workers.starts == 1'100);
+    CHECK(cluster.workers.violations.empty());
+}
+
 TEST_CASE("ended jobs do not run again after a failed expiry and lost history")
 {
     JobCluster cluster(1, 1);
