Keep a record that the store rejects from stopping the other jobs

A transaction that the store can never take was treated like one that it refuses at present: the owner sent the same rows again every 110 ms, and no job of the pool made progress. Dividing large records removes the known reason; this removes the effect, for limits that differ from the settings as well.

The pool owner then sends the jobs of the transaction one by one. The one that the store rejects alone has its record divided further, and if that does not help fewer runs at a time; the other jobs go on. The same cause at the other writer: a submission that is too large delayed all submissions of its part of the store and told its caller to come back. It is answered with 400 at once, when its size is known to exceed a row, or when the store has rejected it alone.

--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -155,10 +155,18 @@
                  {{"job", open->id}, {"route", queue.name}, {"reason", admission.reason}, {"retry_after_ms", admission.retryAfter.count}});
         return answer(open, {.kind = AnswerKind::Refused, .retryAfter = admission.retryAfter, .reason = std::move(admission.reason)});
     }
+    auto value = encodeSpec(spec);
+    if (value.size() > m_ports.limits.rowBytes) {
+        logEvent(LogLevel::Info, "job_too_large", {{"job", open->id}, {"route", queue.name}, {"bytes", value.size()}});
+        return answer(open,
+                      {.kind = AnswerKind::Invalid,
+                       .reason = "the job takes " + std::to_string(value.size()) + " bytes, and at most "
+                                 + std::to_string(m_ports.limits.rowBytes) + " can be stored"});
+    }
     const auto &shard = isLongRunning(spec) ? shards.back() : shards.front();
     const auto now = m_ports.clock.boot();
     open->write = std::make_shared<SubmissionWrite>(SubmissionWrite{.key = submissionKey(shard, open->id),
-                                                                    .value = encodeSpec(spec),
+                                                                    .value = std::move(value),
                                                                     .deadline = answerDeadline(call.callerTimeout),
                                                                     .retryUntil = now + refusalRetryTime});
     open->write->done = [this, open, shard, now](const WriteResult &result) {
@@ -176,6 +184,9 @@
         logEvent(LogLevel::Warn,
                  isUnknown ? "job_outcome_unknown" : "job_refused",
                  {{"job", open->id}, {"shard", shard}, {"reason", result.error}});
+        if (result.outcome == WriteOutcome::Invalid) {
+            return answer(open, {.kind = AnswerKind::Invalid, .reason = "the job can't be stored: " + result.error});
+        }
         answer(open,
                {.kind = isUnknown ? AnswerKind::Unknown : AnswerKind::Refused,
                 .retryAfter = storeRetryAfter,
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -70,6 +70,7 @@
 public:
     struct Ports {
         StorePort store;
+        StoreLimits limits;
         TimerPort timers;
         Clock clock;
         /// Returns null until a configuration has been loaded.
--- a/src/intake/submissionwriter.cpp
+++ b/src/intake/submissionwriter.cpp
@@ -102,9 +102,10 @@
     std::deque<SubmissionWritePtr> left;
     for (auto &it : part.waiting) {
         const auto size = it->value.size();
-        const bool fits = group.empty()
-                          || (group.size() < maxRows && bytes + size <= maxGroupBytes && it->uncertain == group.front()->uncertain
-                              && std::max(size, group.front()->value.size()) <= maxSharedBytes);
+        const bool fits =
+            group.empty()
+            || (!it->alone && !group.front()->alone && group.size() < maxRows && bytes + size <= maxGroupBytes
+                && it->uncertain == group.front()->uncertain && std::max(size, group.front()->value.size()) <= maxSharedBytes);
         // A second write of a row waits for the next transaction, which finds the row stored.
         if (fits && keys.insert(it->key.key).second) {
             bytes += size;
@@ -159,6 +160,8 @@
     }
     if (result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict) {
         settle(part, group, result);
+    } else if (result.outcome == CommitOutcome::Invalid) {
+        reject(part, group, result);
     } else {
         backOff(part, group, result);
     }
@@ -189,6 +192,19 @@
     }
 }
 
+void SubmissionWriter::reject(Part &part, const Group &group, const CommitResult &result)
+{
+    if (group.size() == 1) {
+        auto &write = *group.front();
+        return answer(write,
+                      {.outcome = write.uncertain ? WriteOutcome::Unknown : WriteOutcome::Invalid, .error = "store: " + result.error});
+    }
+    for (const auto &it : group) {
+        it->alone = true;
+    }
+    part.waiting.insert(part.waiting.begin(), group.begin(), group.end());
+}
+
 void SubmissionWriter::backOff(Part &part, const Group &group, const CommitResult &result)
 {
     part.backoff = std::clamp(part.backoff * 2, minBackoff, maxBackoff);
--- a/src/intake/submissionwriter.hpp
+++ b/src/intake/submissionwriter.hpp
@@ -21,6 +21,8 @@
     KnownBefore,
     /// The row has not been written and will not be.
     Refused,
+    /// The store does not take the row; it has not been written and a repetition has the same result.
+    Invalid,
     /// The store did not confirm the row; it may or may not be written.
     Unknown,
 };
@@ -44,6 +46,8 @@
     bool inFlight = false;
     /// A transaction with this row got no answer and may still be applied.
     bool uncertain = false;
+    /// The row is sent in a transaction of its own, since the store did not take one with it and others.
+    bool alone = false;
 
     bool mayBeApplied() const
     {
@@ -102,6 +106,8 @@
     void onResult(Part &part, const Group &group, const CommitResult &result);
     void settle(Part &part, const Group &group, const CommitResult &result);
     void backOff(Part &part, const Group &group, const CommitResult &result);
+    /// Answers a row that the store does not take, or sends the rows of a larger group one by one.
+    static void reject(Part &part, const Group &group, const CommitResult &result);
     /// Refuses what can't be served in time any more.
     void refuseLate(const Part &part, const std::string &error) const;
     void later(Millis delay, std::function<void()> fn);
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -71,6 +71,8 @@
         return "conflict";
     case CommitOutcome::Refused:
         return "refused";
+    case CommitOutcome::Invalid:
+        return "invalid";
     case CommitOutcome::Unknown:
         return "unknown";
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -147,6 +147,7 @@
 {
     return {
         .store = m_store,
+        .limits = m_host.storeLimits(),
         .timers = m_loop.timers(),
         .clock = m_clock,
         .configuration = [this] { return m_host.configuration(); },
--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -276,7 +276,7 @@
     ownTimes.jobRetention = m_settings.jobStatus + m_settings.jobStatus / 2;
     PoolOwner::Ports ports{
         .store = m_ports.store,
-        .limits = {.rowBytes = static_cast<std::size_t>(m_settings.storeRowBytes)},
+        .limits = storeLimits(),
         .workers = m_ports.workers,
         .advice = m_ports.advice,
         .timers = m_ports.timers,
--- a/src/node/shardhost.hpp
+++ b/src/node/shardhost.hpp
@@ -62,6 +62,10 @@
     void setConfiguration(Configuration configuration);
     void setWave(const Wave &wave);
     /// Null until a configuration has been received.
+    StoreLimits storeLimits() const
+    {
+        return {.rowBytes = static_cast<std::size_t>(m_settings.storeRowBytes)};
+    }
     const Configuration *configuration() const
     {
         return m_configuration ? &*m_configuration : nullptr;
--- a/src/ports/store.hpp
+++ b/src/ports/store.hpp
@@ -50,8 +50,11 @@
     Applied,
     /// A condition was not met; nothing was written.
     Conflict,
-    /// The store rejected the call; nothing was written.
+    /// The store rejected the call at present; nothing was written.
     Refused,
+    /// The store does not take this call, for instance because a row is too large; nothing was written, and a repetition has the
+    /// same result.
+    Invalid,
     /// No response: the transaction may have been applied, or may still be applied while its conditions hold.
     Unknown,
 };
--- a/src/scheduling/changedjobs.cpp
+++ b/src/scheduling/changedjobs.cpp
@@ -14,14 +14,20 @@
 
 const std::string *ChangedJobs::oldest() const
 {
-    return m_order.empty() ? nullptr : &m_order.begin()->second;
+    for (const auto &[number, id] : m_order) {
+        if (!m_postponed.contains(id)) {
+            return &id;
+        }
+    }
+    return nullptr;
 }
 
 void ChangedJobs::takeOldest()
 {
-    const auto oldest = m_order.extract(m_order.begin());
-    m_numbers.erase(oldest.mapped());
-    m_inFlight.emplace(oldest.mapped(), oldest.key());
+    const auto id = *oldest();
+    const auto number = m_numbers.extract(id).mapped();
+    m_order.erase(number);
+    m_inFlight.emplace(id, number);
 }
 
 void ChangedJobs::onCommitFailed()
--- a/src/scheduling/changedjobs.hpp
+++ b/src/scheduling/changedjobs.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace hibiscusbridge::jobs
@@ -16,7 +17,7 @@
     void add(const std::string &id);
     bool empty() const
     {
-        return m_order.empty();
+        return oldest() == nullptr;
     }
     /// True if the job has a change that is not in the store, in flight or not.
     bool contains(const std::string &id) const
@@ -28,7 +29,7 @@
     {
         return m_latest;
     }
-    /// The job with the oldest change; null if there is none.
+    /// The job with the oldest change, apart from postponed ones; null if there is none.
     const std::string *oldest() const;
     /// Moves the job with the oldest change into the next transaction. Must not be called while a transaction is in flight.
     void takeOldest();
@@ -47,11 +48,21 @@
     }
     /// Puts the jobs of the transaction in flight back to their places.
     void onCommitFailed();
+    /// The job keeps its place, so that no later change counts as stored before it, but is not taken until `resume`.
+    void postpone(const std::string &id)
+    {
+        m_postponed.insert(id);
+    }
+    void resume()
+    {
+        m_postponed.clear();
+    }
 
 private:
     std::map<std::uint64_t, std::string> m_order;
     std::map<std::string, std::uint64_t> m_numbers;
     std::map<std::string, std::uint64_t> m_inFlight;
+    std::set<std::string> m_postponed;
     std::uint64_t m_latest = 0;
 };
 
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -31,6 +31,8 @@
 
 /// A suspect keeps its worker from other starts for a while, so at most one of this many workers runs one at a time.
 constexpr std::size_t workersPerProbation = 2;
+/// A record that the store rejects is divided further up to this number of parts.
+constexpr std::size_t maxRejectedParts = 32;
 /// Longer checkpoints are not stored: a subtask's progress must fit into a row.
 constexpr std::size_t maxStoredCheckpoint = 4'096;
 /// Window for measuring the arrival rate of work; short compared with a load surge of a few seconds.
@@ -375,6 +377,9 @@
     if (reserved(step).cpuMilli > round.mostFreeCpu && !step.longRunning) {
         return;
     }
+    const auto mayAdd = [&job](int runs) {
+        return job.maxRuns == 0 || job.runCount + runs <= job.maxRuns;
+    };
     auto &subtasks = job.occurrences[static_cast<std::size_t>(ready.occurrence)][s];
     const bool advised = job.spec.policy.needsAdvice;
     if (advised && needsAdvice(job, ready.occurrence, ready.step, now)) {
@@ -414,6 +419,9 @@
         markChanged(job);
     };
     if (step.gang) {
+        if (!mayAdd(step.count)) {
+            return;
+        }
         int number = 0;
         for (const auto &it : subtasks) {
             if (!it.runs.empty() || it.retryAt > now) {
@@ -445,6 +453,9 @@
         if (subtask.done || !subtask.runs.empty() || subtask.retryAt > now) {
             continue;
         }
+        if (!mayAdd(1)) {
+            return;
+        }
         const bool suspect = !subtask.crashes.empty();
         auto choice = suspect ? chooseForSuspect(step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
         if (!choice && step.longRunning && !advised) {
@@ -791,6 +802,47 @@
     }
 }
 
+void Pool::onRecordRejected(Millis now)
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, change] : m_changed.inFlight()) {
+        ids.push_back(id);
+    }
+    onCommitFailed();
+    for (const auto &id : ids) {
+        const auto it = m_jobs.find(id);
+        if (it == m_jobs.end()) {
+            continue;
+        }
+        auto &job = *it->second;
+        if (job.recordParts.size() < maxRejectedParts) {
+            job.recordParts.assign(std::max<std::size_t>(job.recordParts.size() * 2, 2), std::nullopt);
+        } else {
+            job.maxRuns = std::max(job.runCount / 2, 1);
+            withdrawPlaced(job, now);
+            m_changed.postpone(id);
+        }
+        logEvent(LogLevel::Error,
+                 "record_rejected",
+                 {{"pool", m_name}, {"job", id}, {"parts", job.recordParts.size()}, {"max_runs", job.maxRuns}});
+    }
+}
+
+/// Withdraws the runs that are not recorded, so that the record is no larger than before they were placed.
+void Pool::withdrawPlaced(Job &job, Millis now)
+{
+    std::vector<Run *> placed;
+    forEachRun(job, [&](Run &run) {
+        if (run.phase == RunPhase::Placed) {
+            placed.push_back(&run);
+        }
+    });
+    for (Run *const run : placed) {
+        subtaskOf(*run).lastRun = run->number - 1; // Nobody has seen the number.
+        dropRun(*run, now, "record-rejected");
+    }
+}
+
 PoolOrders Pool::dueOrders(Millis now)
 {
     PoolOrders orders;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -129,6 +129,8 @@
     /// Number of unfinished subtasks by occurrence and step.
     std::vector<std::vector<int>> openSubtasks;
     int runCount = 0;
+    /// Maximum number of runs, so that the job's record fits into the store; 0 for no limit.
+    int maxRuns = 0;
     /// Response of the advice service: tickets by worker. Keyed by occurrence * steps + step.
     struct Advice {
         std::map<std::string, std::string> tickets;
@@ -248,6 +250,14 @@
     /// Call after the rows of the last `takeRecords` were committed. Returns the starts to send.
     PoolOrders onRecordsCommitted(Millis now);
     void onCommitFailed();
+    /// Call in place of `onCommitFailed` if the store does not take the rows of the last `takeRecords`, which were of a single job. Its
+    /// record is divided further. If that is of no use, the job has fewer runs at a time, and its rows wait until
+    /// `retryRejectedRecords`.
+    void onRecordRejected(Millis now);
+    void retryRejectedRecords()
+    {
+        m_changed.resume();
+    }
     /// Returns the stops, unsent starts and throttle changes that are due.
     PoolOrders dueOrders(Millis now);
     /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
@@ -307,6 +317,7 @@
     Subtask &subtaskOf(const Run &run) const;
     static const StepSpec &stepOf(const Run &run);
     void markChanged(Job &job);
+    void withdrawPlaced(Job &job, Millis now);
     /// The rows of the job's record that differ from those in the store.
     static std::vector<JobRow> changedRows(Job &job, const StoreLimits &limits);
     Run &addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker);
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -207,6 +207,7 @@
             expire();
         }
         if (m_ticks % ticksPerAckReport == 0) {
+            m_pool->retryRejectedRecords();
             reportAckDelay();
         }
         if (*alive) {
@@ -503,7 +504,7 @@
         }
         return;
     }
-    auto rows = m_pool->takeRecords(maxRowsPerCommit(m_ports.limits), m_ports.limits);
+    auto rows = m_pool->takeRecords(m_singleJobCommits > 0 ? 1 : maxRowsPerCommit(m_ports.limits), m_ports.limits);
     if (rows.empty()) {
         return sendOrders(m_pool->onRecordsCommitted(now));
     }
@@ -518,6 +519,7 @@
         tx.puts.push_back({key, std::move(it.value)});
     }
     m_committing = true;
+    m_singleJobCommits -= std::min<std::size_t>(m_singleJobCommits, 1);
     m_lastCommitAt = now;
     m_ports.store.commit(std::move(tx), m_times.commitTimeout, [this, alive = m_alive, rows = std::move(rows)](const CommitResult &result) {
         if (*alive) {
@@ -536,6 +538,10 @@
         sendOrders(m_pool->onRecordsCommitted(m_ports.clock.boot()));
         return scheduleRun();
     }
+    if (result.outcome == CommitOutcome::Invalid) {
+        onRowsRejected(rows, result.error);
+        return scheduleRun();
+    }
     m_pool->onCommitFailed();
     if (result.outcome == CommitOutcome::Conflict) {
         const auto condition = m_ports.condition();
@@ -555,6 +561,22 @@
     scheduleRun();
 }
 
+/// A repetition of the transaction would be rejected too, and with it all jobs of the pool would wait for the one that the store does not
+/// take.
+void PoolOwner::onRowsRejected(const std::vector<JobRow> &rows, const std::string &error)
+{
+    std::set<std::string> jobs;
+    for (const auto &it : rows) {
+        jobs.insert(it.id);
+    }
+    logEvent(LogLevel::Error, "commit_rejected", {{"pool", m_name}, {"jobs", jobs.size()}, {"rows", rows.size()}, {"error", error}});
+    if (jobs.size() == 1) {
+        return m_pool->onRecordRejected(m_ports.clock.boot());
+    }
+    m_singleJobCommits = jobs.size();
+    m_pool->onCommitFailed();
+}
+
 void PoolOwner::expire()
 {
     if (m_expiring) {
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -111,6 +111,7 @@
     void sendOrders(PoolOrders orders);
     void requestAdvice(Millis now);
     void commit(Millis now);
+    void onRowsRejected(const std::vector<JobRow> &rows, const std::string &error);
     void onCommitted(const std::vector<JobRow> &rows, const CommitResult &result);
     void expire();
     void onExpired(std::span<const ExpiredJob> jobs, const CommitResult &result);
@@ -135,6 +136,8 @@
     double m_renewalBudget = 0;
     Millis m_renewalBudgetAt;
     bool m_committing = false;
+    /// Number of further transactions that hold a single job each, to find one whose record the store does not take.
+    std::size_t m_singleJobCommits = 0;
     /// A removal of expired jobs is under way.
     bool m_expiring = false;
     Millis m_lastCommitAt;
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -210,6 +210,7 @@
     auto *const host = entry.host.get();
     entry.intake = std::make_unique<Intake>(
         Intake::Ports{.store = storeOf(name),
+                      .limits = host->storeLimits(),
                       .timers = timersOf(name),
                       .clock = loop.clock(),
                       .configuration = [host] { return host->configuration(); },
--- a/tests/unit/storelimits_test.cpp
+++ b/tests/unit/storelimits_test.cpp
@@ -67,6 +67,54 @@
     CHECK(cluster.store.oversized == 0);
 }
 
+TEST_CASE("a record that the store does not take stops no other job")
+{
+    // The store takes smaller rows than its setting says. All jobs of the transaction were sent again and again with the one it rejects.
+    JobCluster cluster(1, 0);
+    cluster.store.maxRowBytes = 4'000;
+    addWorkers(cluster, 4, 320);
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(600, 100, {300})}));
+    for (int i = 2; i < 7; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(4, 500, {300})}));
+    }
+    cluster.loop.advance({3'000});
+    CHECK(cluster.allFinal());
+    CHECK(cluster.workers.violations.empty());
+}
+
+TEST_CASE("a job with a record that the store takes in no form runs a few subtasks at a time")
+{
+    JobCluster cluster(1, 0);
+    addWorkers(cluster, 4, 320);
+    cluster.store.maxCallBytes = 15'000;
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(600, 100, {300})}));
+    cluster.submit("e0", makeJob(jobId(2), {makeStep(4, 500, {300})}));
+    cluster.loop.advance({3'000});
+    CHECK(cluster.phaseOf(jobId(2)) == JobPhase::Completed);
+    cluster.loop.advance({60'000});
+    CHECK(cluster.allFinal());
+    CHECK(cluster.workers.violations.empty());
+}
+
+TEST_CASE("a job that can't be stored is rejected at once")
+{
+    JobCluster cluster(1, 1);
+    cluster.loop.advance(startupTime);
+    auto spec = makeJob(jobId(1), {makeStep(1, 100, {300})});
+    spec.payload = std::string(70'000, 'x');
+    cluster.submit("e0", spec);
+    CHECK(cluster.answers.at(spec.id).kind == AnswerKind::Invalid);
+    // Also if only the store knows the limit.
+    cluster.store.maxRowBytes = 4'000;
+    spec = makeJob(jobId(2), {makeStep(1, 100, {300})});
+    spec.payload = std::string(5'000, 'x');
+    cluster.submit("e0", spec);
+    cluster.submit("e0", makeJob(jobId(3), {makeStep(1, 100, {300})}));
+    cluster.loop.advance({100});
+    CHECK(cluster.answers.at(spec.id).kind == AnswerKind::Invalid);
+    CHECK(cluster.answers.at(jobId(3)).kind == AnswerKind::Done);
+}
+
 TEST_CASE("changes of many large jobs are divided into transactions that the store takes")
 {
     // The store takes 1 MB a call: a transaction with all of these jobs was refused again and again.
--- a/tests/unit/submissionwriter_test.cpp
+++ b/tests/unit/submissionwriter_test.cpp
@@ -236,6 +236,25 @@
     CHECK(world.results.empty());
 }
 
+TEST_CASE("rows that the store does not take together are sent one by one, and only the invalid one is answered so")
+{
+    const CommitResult invalid{.outcome = CommitOutcome::Invalid, .error = "HTTP status 413"};
+    WriterWorld world;
+    world.add("a");
+    world.add("b");
+    world.add("c");
+    world.answerFirst({.outcome = CommitOutcome::Applied, .version = 1});
+    REQUIRE(world.rowsOf(0) == Keys{"b", "c"});
+    world.answerFirst(invalid);
+    REQUIRE(world.rowsOf(0) == Keys{"b"});
+    world.answerFirst(invalid);
+    CHECK(world.outcome("b") == WriteOutcome::Invalid);
+    // Without a delay: the store is not overloaded.
+    REQUIRE(world.rowsOf(0) == Keys{"c"});
+    world.answerFirst({.outcome = CommitOutcome::Applied, .version = 2});
+    CHECK(world.outcome("c") == WriteOutcome::Stored);
+}
+
 TEST_CASE("transactions stay below the store's limits of entries and bytes, and a large row is sent alone")
 {
     constexpr std::size_t maxEntries = 100;
