Read the stored progress of all waves, not only of the first page

Could be seen: VMs of completed waves are maintained again, and the waves are said to run, after a change of the fleet's owner with more than 500 waves in the store.

Cause: `FleetOwner::load` read one page, and waves that were not on it counted as new.

--- a/src/upkeep/fleetowner.cpp
+++ b/src/upkeep/fleetowner.cpp
@@ -38,19 +38,19 @@
 void FleetOwner::start()
 {
     m_startedAt = m_ports.clock.boot();
-    load();
+    load("");
 }
 
-void FleetOwner::load()
+void FleetOwner::load(const std::string &from)
 {
-    m_ports.store.read({waveTable, fleetShard, "", ""}, m_times.storeTimeout, [this, alive = m_alive](const ReadResult &result) {
+    m_ports.store.read({waveTable, fleetShard, from, ""}, m_times.storeTimeout, [this, alive = m_alive, from](const ReadResult &result) {
         if (!*alive) {
             return;
         }
         if (result.outcome != ReadOutcome::Answered) {
-            return m_ports.timers.after(loadRetryDelay, [this, alive] {
+            return m_ports.timers.after(loadRetryDelay, [this, alive, from] {
                 if (*alive) {
-                    load();
+                    load(from);
                 }
             });
         }
@@ -72,6 +72,9 @@
             entry.progress.completed = flagOf(json, "completed");
             entry.statusWritten = true;
         }
+        if (result.hasMore && !result.rows.empty()) {
+            return load(result.rows.back().key.key + std::string(1, '\x01'));
+        }
         m_loaded = true;
         logEvent(LogLevel::Info, "fleet_shard_acquired", {{"fence", m_fence}, {"waves", m_waves.size()}});
         step();
--- a/src/upkeep/fleetowner.hpp
+++ b/src/upkeep/fleetowner.hpp
@@ -74,7 +74,8 @@
         bool completionReported = false;
     };
 
-    void load();
+    /// Reads the stored progress of the waves from this key on.
+    void load(const std::string &from);
     void step();
     void listVms();
     void reconcile();
