Remove ended jobs as fast as they come

Could be seen: the rows in the store and the memory of owners grow without bound at more than 6 jobs a second in a pool.

Cause: each pool removed one transaction of 31 jobs every 5 s, whatever was left.

Change: a removal that succeeded is followed by the next one at the next tick, 100 ms later, until nothing is left.

--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -203,7 +203,7 @@
             return;
         }
         ++m_ticks;
-        if (m_ticks % ticksPerExpiry == 0 && m_ports.isOwner()) {
+        if ((m_ticks % ticksPerExpiry == 0 || m_moreExpired) && m_ports.isOwner()) {
             expire();
         }
         if (m_ticks % ticksPerAckReport == 0) {
@@ -582,6 +582,7 @@
     if (m_expiring) {
         return;
     }
+    m_moreExpired = false;
     auto expired = m_pool->expired(m_ports.clock.wall() - m_times.jobRetention, m_ports.limits.transactionEntries - 1);
     if (expired.empty()) {
         return;
@@ -620,6 +621,7 @@
         }
     }
     m_pool->forget(jobs);
+    m_moreExpired = true;
 }
 
 std::string PoolOwner::status() const
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -140,6 +140,8 @@
     std::size_t m_singleJobCommits = 0;
     /// A removal of expired jobs is under way.
     bool m_expiring = false;
+    /// The last removal has succeeded, and there may be more expired jobs than it had room for.
+    bool m_moreExpired = false;
     Millis m_lastCommitAt;
     bool m_runScheduled = false;
     bool m_commitTimer = false;
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -2,6 +2,7 @@
 #include "unit/jobcluster.hpp"
 
 #include "scheduling/pool.hpp"
+#include "shards/rows.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -203,6 +204,24 @@
     CHECK_FALSE(cluster.owner().empty());
 }
 
+TEST_CASE("ended jobs are removed as fast as they come")
+{
+    // A pool with 30 jobs a second kept most of them: 31 were removed every 5 s.
+    JobCluster cluster(1, 4);
+    cluster.loop.advance(startupTime);
+    for (int i = 0; i < 600; ++i) {
+        cluster.submit("e0", makeJob(jobId(i), {makeStep(1, 200, {50})}));
+        cluster.loop.advance({33});
+    }
+    // They are kept for 180 s, and removals start every 5 s.
+    cluster.loop.advance({187'000});
+    REQUIRE(cluster.accepted.size() == 600);
+    const auto kept = std::count_if(cluster.accepted.begin(), cluster.accepted.end(), [&](const auto &it) {
+        return !cluster.store.value(progressKey("pool", it)).empty();
+    });
+    CHECK(kept == 0);
+}
+
 TEST_CASE("jobs that expire while the submissions are read again do not run again")
 {
     // More submissions than a page holds: the first page is older than the removals, and the read ends after them.
