Take no worker out of use because of a copy of its entry

Cause: entries with few fields counted as workers, and of two workers of one VM that were born at the same time the one whose key sorts later was taken for replaced, and its runs for ended.

Of two entries with the same time of birth neither has replaced the other.

--- a/src/shards/workerdirectory.cpp
+++ b/src/shards/workerdirectory.cpp
@@ -193,6 +193,9 @@
             known = &worker;
             continue;
         }
+        if (known->incarnationStart == worker.incarnationStart) {
+            continue; // Neither has followed the other; one may be a copy that another program left.
+        }
         replaced.insert(known->incarnationStart < worker.incarnationStart ? known->id : id);
         known = known->incarnationStart < worker.incarnationStart ? &worker : known;
     }
--- a/tests/unit/jobcluster.cpp
+++ b/tests/unit/jobcluster.cpp
@@ -73,6 +73,10 @@
     const nlohmann::json json{{"service", worker.service},
                               {"address", "10.128.0.9:8080"}, // The fake workers know each other by id.
                               {"zone", worker.zone},
+                              {"version", "v1"},
+                              {"slots", 8},
+                              {"cold_left_ms", 0},
+                              {"seq_no", 1},
                               {"machine", worker.vm},
                               {"born", worker.incarnationStart},
                               {"state", worker.draining ? "draining" : "ready"},
--- a/tests/unit/malformed_test.cpp
+++ b/tests/unit/malformed_test.cpp
@@ -183,8 +183,10 @@
     const char *const only = std::getenv("DECODER_SEED");
     const unsigned first = only ? static_cast<unsigned>(std::atoi(only)) : 1;
     const unsigned last = only ? first : 4'000;
-    const std::string worker = R"({"service":"s","address":"1.2.3.4:5","state":"ready","machine":"m","born":17,)"
-                               R"("capacity":{"cpu":1000,"mem_mb":10,"gpu":0},"labels":["a","r1"]})";
+    const std::string worker =
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq_no":4,)"
+        R"("machine":"m","born":17,)"
+        R"("capacity":{"cpu":1000,"mem_mb":10,"gpu":0},"labels":["a","r1"]})";
     const std::string job = R"({"spec":"x","times":2,"interval_ms":50,"steps":[{"count":2,"cpu":500},{"count":1,"after":[0]}]})";
     const std::string configuration =
         R"({"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/q/","service":"s","priority":0,"stretch":1.5,)"
--- a/tests/unit/oddentries_test.cpp
+++ b/tests/unit/oddentries_test.cpp
@@ -94,12 +94,24 @@
         {"/machine", "7"},
         {"/machine", nested("[", "]")},
         {"/labels", R"(["a", 7])"},
+        {"/zone", "7"},
+        {"/version", "null"},
+        {"/slots", R"("8")"},
+        {"/cold_left_ms", "true"},
+        {"/seq_no", "-1"},
         {"/labels", nested("[", "]")},
     };
     for (const auto &[field, text] : odd) {
         CAPTURE(field, text.substr(0, 60));
         CHECK_FALSE(decode(withValue(Json::json_pointer(field), text)));
     }
+    for (const auto *const field :
+         {"service", "address", "zone", "version", "slots", "state", "cold_left_ms", "capacity", "labels", "seq_no"}) {
+        CAPTURE(field);
+        auto entry = validEntry();
+        entry.erase(field);
+        CHECK_FALSE(decode(entry.dump()));
+    }
     CHECK_FALSE(decode(nested("[", "]")));
     CHECK_FALSE(decode(nested("{\"a\":", "}")));
     CHECK_FALSE(decode(std::string(60'000, '[')));
@@ -136,6 +148,31 @@
     CHECK(cluster.workers.violations.empty());
 }
 
+TEST_CASE("a copy of a live worker's entry does not take the worker out of use")
+{
+    // Subtasks ran twice: the copy of another program counted as the newer worker of the VM, so that the runs of the live one were
+    // taken for ended.
+    const bool complete = GENERATE(false, true);
+    CAPTURE(complete);
+    JobCluster cluster(1, 3);
+    cluster.loop.advance(startupTime);
+    cluster.submit("e0", makeJob(jobId(1), {makeStep(24, 1'000, {8'000})}));
+    cluster.loop.advance({1'500});
+    REQUIRE(cluster.workers.runningOn("w1") == 8);
+    const RowKey original{std::string(platform::workerTable), "", "w1"};
+    auto copy = Json::parse(cluster.store.value(original));
+    if (!complete) {
+        for (const auto *const field : {"zone", "version", "slots", "cold_left_ms", "seq_no", "labels"}) {
+            copy.erase(field);
+        }
+    }
+    cluster.store.put({original.table, "", "a-inventory"}, copy.dump());
+    cluster.loop.advance({12'000});
+    CHECK(cluster.workers.starts == 24);
+    CHECK(cluster.workers.violations.empty());
+    CHECK(cluster.allFinal());
+}
+
 TEST_CASE("an entry that a decoder fails on does not end the following of the table")
 {
     FakeLoop loop;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -16,8 +16,10 @@
     const auto decode = [](const std::string &value) {
         return platform::decodeWorker({.key = {"servers", "", "w"}, .value = value});
     };
-    const std::string valid = R"({"service":"s","address":"1.2.3.4:5","state":"ready","machine":"m","born":17,)"
-                              R"("capacity":{"cpu":1000,"mem_mb":10,"gpu":0},"labels":["a","r1"]})";
+    const std::string valid =
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq_no":4,)"
+        R"("machine":"m","born":17,)"
+        R"("capacity":{"cpu":1000,"mem_mb":10,"gpu":0},"labels":["a","r1"]})";
     REQUIRE(decode(valid));
     CHECK(decode(valid)->vm == "m");
     CHECK(rackOf(*decode(valid)) == "r1");
