Close the reactor while its handlers exist

Cause: ~EventLoop leaves the handlers that could not be removed, because their descriptors were closed while they were watched, in the reactor. The members are destroyed in reverse order, handlers first, and the reactor then calls handle_close of each that is left. Change: the reactor is closed in ~EventLoop, before the handlers are freed.

--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -100,6 +100,8 @@
     for (auto &[fd, handler] : m_handlers) {
         unregister(*handler);
     }
+    // The reactor calls the handlers that it could not remove, because their descriptors were closed while they were watched.
+    m_reactor->reactor.close();
 }
 
 TimerPort EventLoop::timers()
--- a/src/adapters/eventloop.hpp
+++ b/src/adapters/eventloop.hpp
@@ -55,7 +55,7 @@
 
     Clock m_clock;
     std::unique_ptr<Reactor> m_reactor;
-    /// One for each descriptor number that was ever watched; never freed before the reactor, which keeps a handler whose
+    /// One for each descriptor number that was ever watched; never freed before the reactor is closed, which keeps a handler whose
     /// descriptor was closed before it could be removed.
     std::map<int, std::unique_ptr<Handler>> m_handlers;
     std::multimap<Millis, std::function<void()>> m_timers;
--- a/tests/unit/eventloop_test.cpp
+++ b/tests/unit/eventloop_test.cpp
@@ -39,3 +39,23 @@
         close(it[1]);
     }
 }
+
+TEST_CASE("a loop whose watched descriptors were closed by others ends without using freed handlers")
+{
+    // Guards against the crash at the exit of a process: the reactor keeps a handler that it could not remove.
+    constexpr std::size_t pipes = 8;
+    std::vector<std::array<int, 2>> fds(pipes);
+    {
+        EventLoop loop;
+        for (auto &it : fds) {
+            REQUIRE(pipe(it.data()) == 0);
+            loop.watch(it[0], {.read = true}, [](FdInterest) {});
+        }
+        for (const auto &it : fds) {
+            close(it[0]);
+        }
+    }
+    for (const auto &it : fds) {
+        CHECK(close(it[1]) == 0);
+    }
+}
