Report when the event loop was late, and do not blame the store for it

An entry whose loop stood still for seconds left no trace in logs and metrics, and refused its callers with "the store has not answered for 6433 ms", although the answer waited unread in a socket. So a slow store, a VM without processor time and an entry that is busy with itself looked the same. Delays of a tenth of a second or more are counted in hibiscusbridge_loop_delay_seconds_total; from one second on `loop_late` has their length and the processor time used meanwhile. A refusal for the age of what the entry knows names the entry's own delay when that explains it. The refusal itself stays: the configuration may have changed meanwhile. The tests cover a busy and a sleeping process, and both reasons.

--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <ctime>
 
 namespace hibiscusbridge
 {
@@ -20,6 +21,8 @@
 constexpr Millis longestWait{200};
 /// Descriptors served before the timers have their turn.
 constexpr int maxEventsPerRound = 256;
+/// Interval at which the processor time of the process is read, which takes a system call.
+constexpr Millis cpuReadInterval{1'000};
 
 volatile std::sig_atomic_t pendingSignals = 0;
 volatile std::sig_atomic_t lastSignal = 0;
@@ -203,12 +206,51 @@
     }
 }
 
-Millis EventLoop::untilNextTimer() const
+Millis EventLoop::untilNextTimer(Millis now) const
 {
     if (m_timers.empty()) {
         return longestWait;
     }
-    return std::clamp(m_timers.begin()->first - m_clock.boot(), Millis{0}, longestWait);
+    return std::clamp(m_timers.begin()->first - now, Millis{0}, longestWait);
+}
+
+static Millis cpuOfProcess()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return {time.tv_sec * 1'000 + time.tv_nsec / 1'000'000};
+}
+
+void EventLoop::onDelay(std::function<void(const LoopDelay &)> callback)
+{
+    m_onDelay = std::move(callback);
+}
+
+void EventLoop::noteDelay(Millis now)
+{
+    const auto length = now - m_roundDueAt;
+    const bool late = m_roundDueAt.count > 0 && length >= minLoopDelay;
+    if (!late && now - m_cpuReadAt < cpuReadInterval) {
+        return;
+    }
+    const auto cpu = cpuOfProcess();
+    if (late) {
+        m_lastDelay = {.endedAt = now, .length = length, .cpu = cpu - m_cpu, .cpuSince = m_cpuReadAt};
+        if (m_onDelay) {
+            m_onDelay(m_lastDelay);
+        }
+    }
+    m_cpu = cpu;
+    m_cpuReadAt = now;
+}
+
+LoopDelay EventLoop::lastDelay() const
+{
+    const auto now = m_clock.boot();
+    if (const auto length = now - m_roundDueAt; m_roundDueAt.count > 0 && length >= minLoopDelay) {
+        return {.endedAt = now, .length = length};
+    }
+    return m_lastDelay;
 }
 
 void EventLoop::runDueTimers()
@@ -229,8 +271,11 @@
 {
     m_running = true;
     while (m_running) {
+        const auto now = m_clock.boot();
+        noteDelay(now);
         // ACE's own timer queue reads the wall clock, which may jump, so timers are kept here.
-        const auto wait = untilNextTimer();
+        const auto wait = untilNextTimer(now);
+        m_roundDueAt = now + wait;
         ACE_Time_Value timeout(wait.count / 1000, static_cast<suseconds_t>(wait.count % 1000 * 1000));
         // The reactor serves one descriptor a call. All ready ones are served before timers run: a late process would otherwise
         // give up calls whose answers have arrived.
--- a/src/adapters/eventloop.hpp
+++ b/src/adapters/eventloop.hpp
@@ -12,11 +12,24 @@
 namespace hibiscusbridge
 {
 
+/// Shorter delays are not reported.
+inline constexpr Millis minLoopDelay{100};
+
 struct FdInterest {
     bool read = false;
     bool write = false;
 };
 
+/// A time in which the loop served nothing: a callback took long, or the process was not run.
+struct LoopDelay {
+    Millis endedAt; ///< boot clock; 0 if there was none
+    Millis length;
+    /// Processor time that the process used since `cpuSince`, which is at most a second before the delay. Little of it says that the
+    /// process was not run.
+    Millis cpu;
+    Millis cpuSince; ///< boot clock
+};
+
 /// Runs callbacks on the thread that calls `run`.
 class EventLoop
 {
@@ -39,6 +52,10 @@
     void onStopSignal(std::function<void(int signal)> callback);
     /// Calls `callback` after each SIGHUP.
     void onReloadSignal(std::function<void()> callback);
+    /// Calls `callback` after each delay of `minLoopDelay` or more, before the timers that have become due.
+    void onDelay(std::function<void(const LoopDelay &)> callback);
+    /// The last delay of `minLoopDelay` or more, which may have been caused by an earlier callback of the present round.
+    LoopDelay lastDelay() const;
     /// Runs until `stop`.
     void run();
     void stop();
@@ -51,7 +68,8 @@
     void unregister(Handler &handler);
     void runDueTimers();
     void dispatchSignals();
-    Millis untilNextTimer() const;
+    Millis untilNextTimer(Millis now) const;
+    void noteDelay(Millis now);
 
     Clock m_clock;
     std::unique_ptr<Reactor> m_reactor;
@@ -61,6 +79,13 @@
     std::multimap<Millis, std::function<void()>> m_timers;
     std::function<void(int)> m_onStopSignal;
     std::function<void()> m_onReloadSignal;
+    std::function<void(const LoopDelay &)> m_onDelay;
+    /// Boot clock: latest time at which the present round should end.
+    Millis m_roundDueAt;
+    LoopDelay m_lastDelay;
+    /// Processor time of the process at `m_cpuReadAt`.
+    Millis m_cpu;
+    Millis m_cpuReadAt;
     bool m_running = false;
 };
 
--- a/src/intake/availability.hpp
+++ b/src/intake/availability.hpp
@@ -14,6 +14,9 @@
     Millis answeredAt;
     /// All changes of the configuration that were stored before this time are in force; 0 before the first read.
     Millis configurationConfirmedAt;
+    /// When the entry was last late by `delay` in serving anything; 0 if it never was.
+    Millis delayEndedAt;
+    Millis delay;
 };
 
 /// Returns the reason why callers must be refused, or an empty string. A process that was paused finds callers' requests in its
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -42,6 +42,11 @@
             .Name("hibiscusbridge_ack_delay_seconds_total")
             .Help("Seconds in which a pool's oldest listed end had waited over a second for its acknowledgement, by reason")
             .Register(registry);
+    prometheus::Family<prometheus::Counter> &loopDelays =
+        prometheus::BuildCounter()
+            .Name("hibiscusbridge_loop_delay_seconds_total")
+            .Help("Time in which the event loop served nothing, in delays of a tenth of a second or more")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge> &oldestUnackedEnd =
         prometheus::BuildGauge()
             .Name("hibiscusbridge_oldest_unacknowledged_end_seconds")
@@ -188,6 +193,11 @@
         .Observe(static_cast<double>(duration.count) * secondsPerMilli);
 }
 
+void Metrics::recordLoopDelay(Millis length)
+{
+    m_families->loopDelays.Add({}).Increment(static_cast<double>(length.count) * secondsPerMilli);
+}
+
 void Metrics::recordAckDelay(AckDelay delay)
 {
     m_families->ackDelays.Add({{"reason", nameOf(delay)}}).Increment();
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -26,6 +26,7 @@
     void recordAnswer(std::string_view call, const Answer &answer, Millis duration);
     /// Counts a second in which a pool had an end that waited long for its acknowledgement.
     void recordAckDelay(AckDelay delay);
+    void recordLoopDelay(Millis length);
     /// Renders all metrics, including the current state of the shards and the number of dropped log lines.
     std::string render(const ShardHost &host) const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,6 +29,8 @@
 /// Part of the reserve that is left to the exit when some client does not take its answer.
 constexpr Millis exitTime{300};
 constexpr Millis peerTimeout{600};
+/// Shorter delays of the event loop are counted but not logged.
+constexpr Millis loggedLoopDelay{1'000};
 /// All entries share the 64 connections that a worker accepts. The owner needs one for the renewal request and a few
 /// for orders.
 constexpr long connectionsPerWorker = 3;
@@ -63,6 +65,7 @@
     HttpResponse onShardRequest(const Json &payload);
     std::string unavailableReason() const;
     void reload();
+    void onLoopDelay(const LoopDelay &delay);
     void onStop();
     void waitForCalls();
     /// Requests of any server of this entry that have been read and whose response has not been sent.
@@ -163,7 +166,18 @@
     if (m_host.configuration() && m_host.cells().count == 0) {
         return "the division of the fleet into cells is not known yet";
     }
-    return jobs::unavailableReason({m_host.leases().lastAnswerAt(), m_operator.confirmedAt()}, m_clock.boot());
+    const auto delay = m_loop.lastDelay();
+    return jobs::unavailableReason({m_host.leases().lastAnswerAt(), m_operator.confirmedAt(), delay.endedAt, delay.length}, m_clock.boot());
+}
+
+void Node::onLoopDelay(const LoopDelay &delay)
+{
+    m_metrics.recordLoopDelay(delay.length);
+    if (delay.length >= loggedLoopDelay) {
+        logEvent(LogLevel::Warn,
+                 "loop_late",
+                 {{"late_ms", delay.length.count}, {"cpu_ms", delay.cpu.count}, {"of_ms", (delay.endedAt - delay.cpuSince).count}});
+    }
 }
 
 absl::Status Node::listen()
@@ -206,6 +220,7 @@
     // Before the entry can be reached: a signal would otherwise end it with callers' connections open.
     m_loop.onStopSignal([this](int) { onStop(); });
     m_loop.onReloadSignal([this] { reload(); });
+    m_loop.onDelay([this](const LoopDelay &delay) { onLoopDelay(delay); });
     if (auto status = listen(); !status.ok()) {
         return status;
     }
--- a/tests/unit/availability_test.cpp
+++ b/tests/unit/availability_test.cpp
@@ -18,3 +18,17 @@
     // Before the first read, calls are refused for lack of a configuration.
     CHECK(unavailableReason({now, {}}, now).empty());
 }
+
+TEST_CASE("an entry that was late itself does not tell callers that the store is silent")
+{
+    const Millis now{100'000};
+    const Millis answeredAt{93'900};
+    const Millis delay{6'000};
+    const auto reasonWith = [&](const StoreContact &contact) {
+        return unavailableReason(contact, now);
+    };
+    CHECK(reasonWith({answeredAt, now, now, delay}) == "this entry was late by 6000 ms and has not read the store since");
+    // A delay before the last answer, and one that is shorter than the silence, explain nothing.
+    CHECK(reasonWith({answeredAt, now, answeredAt - Millis{1}, delay}) == "the store has not answered for 6100 ms");
+    CHECK(reasonWith({answeredAt, now, now, {1'000}}) == "the store has not answered for 6100 ms");
+}
--- a/tests/unit/eventloop_test.cpp
+++ b/tests/unit/eventloop_test.cpp
@@ -1,8 +1,10 @@
 // The event loop serves descriptors and timers fairly.
 #include "adapters/eventloop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <unistd.h>
 #include <vector>
 
@@ -59,3 +61,34 @@
         CHECK(close(it[1]) == 0);
     }
 }
+
+TEST_CASE("a loop that was held up reports how long and whether the process was busy, also within the same round")
+{
+    // Guards against an owner that stands still without a trace in logs and metrics.
+    const bool busy = GENERATE(true, false);
+    CAPTURE(busy);
+    constexpr Millis length{400};
+    const auto clock = systemClock();
+    EventLoop loop;
+    std::vector<LoopDelay> reports;
+    LoopDelay seenBetween;
+    loop.onDelay([&](const LoopDelay &delay) { reports.push_back(delay); });
+    loop.timers().after({20}, [&] {
+        const auto begin = clock.boot();
+        const auto cpuBegin = std::clock();
+        // Processor time, so that the test holds on a machine with other work.
+        while (busy ? (std::clock() - cpuBegin) * 1'000 / CLOCKS_PER_SEC < length.count : clock.boot() - begin < length) {
+            if (!busy) {
+                usleep(10'000);
+            }
+        }
+    });
+    loop.timers().after({20}, [&] { seenBetween = loop.lastDelay(); });
+    loop.timers().after({30}, [&] { loop.stop(); });
+    loop.run();
+    const auto longest = std::max_element(reports.begin(), reports.end(), [](const auto &a, const auto &b) { return a.length < b.length; });
+    REQUIRE(longest != reports.end());
+    CHECK(longest->length >= length);
+    CHECK(seenBetween.length >= length);
+    CHECK((longest->cpu >= length / 2) == busy);
+}
