--- /dev/null
+++ b/src/scheduling/poolorders.cpp
@@ -0,0 +1,181 @@
+// Orders of a pool to its workers: what may be sent, what is due, and what is withdrawn instead.
+#include "scheduling/pool.hpp"
+
+#include <algorithm>
+
+namespace hibiscusbridge::jobs
+{
+
+/// An accepted stop is sent again if the run's end is not listed within this time.
+constexpr Millis stopRetryInterval{2'000};
+
+StartOrder Pool::makeStart(Run &run, Millis now)
+{
+    auto &worker = *run.worker;
+    run.orderInFlight = true;
+    run.lastOrderAt = now;
+    ++run.attempts;
+    run.unsent = false;
+    run.startFence = fenceAt(worker.entry.id);
+    onHoldSent(worker.entry.id, now);
+    StartOrder order{.worker = {worker.entry.id, worker.entry.address},
+                     .subtask = {run.job->spec.id, run.occurrence, run.step, run.index},
+                     .run = run.number,
+                     .payload = run.job->spec.payload,
+                     .checkpoint = subtaskOf(run).checkpoint,
+                     .deadline = deadlineFor(worker, now),
+                     .fence = run.startFence};
+    if (run.job->spec.policy.needsAdvice) {
+        const auto &advice = run.job->advice[run.occurrence * static_cast<int>(run.job->spec.steps.size()) + run.step];
+        if (const auto it = advice.tickets.find(worker.entry.id); it != advice.tickets.end()) {
+            order.ticket = it->second;
+        }
+    }
+    return order;
+}
+
+bool isUnsent(const Run &run)
+{
+    return run.phase == RunPhase::Placed || run.phase == RunPhase::Committing || (run.phase == RunPhase::Starting && run.unsent);
+}
+
+static bool isSameStep(const Run &a, const Run &b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+bool Pool::fitsOnWorker(const Run &run) const
+{
+    auto used = unknownLoad(*run.worker);
+    for (const Run *const it : run.worker->runs) {
+        const bool startsWithRun = it == &run || (stepOf(run).gang && isSameStep(*it, run));
+        used = startsWithRun || !isUnsent(*it) ? used + it->reserved : used;
+    }
+    return fits(used, run.worker->entry.capacity);
+}
+
+const char *Pool::workerObstacle(const Run &run)
+{
+    const auto &worker = *run.worker;
+    if (!worker.registered) {
+        return "worker-gone";
+    }
+    if (!worker.synced || worker.misses > 0) {
+        return "worker-unheard";
+    }
+    if (run.incarnationStart != worker.incarnationStart) {
+        return "worker-reborn";
+    }
+    return worker.entry.draining ? "worker-draining" : nullptr;
+}
+
+const char *Pool::startObstacle(const Run &run) const
+{
+    const auto obstacleOf = [this](const Run &it) {
+        const char *const obstacle = workerObstacle(it);
+        return obstacle || fitsOnWorker(it) ? obstacle : "capacity-shrunk";
+    };
+    if (!stepOf(run).gang) {
+        return obstacleOf(run);
+    }
+    for (const auto &member : run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)]) {
+        for (const auto &it : member.runs) {
+            if (const char *const obstacle = isUnsent(*it) ? obstacleOf(*it) : nullptr) {
+                return obstacle;
+            }
+        }
+    }
+    return nullptr;
+}
+
+bool Pool::mayStillSend(const StartOrder &order) const
+{
+    const auto worker = m_workers.find(order.worker.id);
+    if (worker == m_workers.end() || order.fence != fenceAt(order.worker.id)) {
+        return false;
+    }
+    const Run *const run = findRun(*worker->second, order.subtask, order.run);
+    return run && !run->stopRequested && !workerObstacle(*run) && fitsOnWorker(*run);
+}
+
+void Pool::withdraw(Run &run, Millis now, const char *reason)
+{
+    std::vector<Run *> unsent{&run};
+    if (stepOf(run).gang) {
+        for (auto &member : run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)]) {
+            for (const auto &it : member.runs) {
+                it->stopRequested = true;
+                if (it.get() != &run && isUnsent(*it) && it->phase != RunPhase::Committing) {
+                    unsent.push_back(it.get());
+                }
+            }
+        }
+    }
+    for (Run *const it : unsent) {
+        dropRun(*it, now, reason);
+    }
+}
+
+void Pool::withdrawUnstartable(Millis now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const char *obstacle = nullptr;
+        const auto findUnstartable = [&runs = worker->runs, &obstacle, this] {
+            return std::find_if(runs.begin(), runs.end(), [&obstacle, this](const Run *it) {
+                obstacle = nullptr;
+                if (it->phase == RunPhase::Placed) {
+                    obstacle = workerObstacle(*it);
+                } else if (it->phase == RunPhase::Starting && it->unsent && !it->stopRequested) {
+                    obstacle = startObstacle(*it);
+                }
+                return obstacle != nullptr;
+            });
+        };
+        for (auto it = findUnstartable(); it != worker->runs.end(); it = findUnstartable()) {
+            withdraw(**it, now, obstacle);
+        }
+    }
+}
+
+PoolOrders Pool::dueOrders(Millis now)
+{
+    PoolOrders orders;
+    withdrawUnstartable(now);
+    for (auto &[id, worker] : m_workers) {
+        if (worker->entry.address.empty()) {
+            continue;
+        }
+        const WorkerAddress address{worker->entry.id, worker->entry.address};
+        for (Run *const it : worker->runs) {
+            if (it->orderInFlight || it->phase == RunPhase::Placed || it->phase == RunPhase::Committing) {
+                continue;
+            }
+            const SubtaskId subtask{it->job->spec.id, it->occurrence, it->step, it->index};
+            if (it->stopRequested) {
+                const auto pause = it->stopAccepted ? stopRetryInterval : m_times.resendInterval;
+                if (isReachable(*worker) && (it->lastStopAt.count == 0 || now - it->lastStopAt >= pause)) {
+                    it->orderInFlight = true;
+                    it->lastStopAt = now;
+                    orders.stops.push_back({address, subtask, it->number, fenceAt(id)});
+                }
+                continue;
+            }
+            if (it->phase == RunPhase::Starting && it->unsent && now - it->lastOrderAt >= m_times.resendInterval && !startObstacle(*it)) {
+                orders.starts.push_back(makeStart(*it, now));
+            } else if (it->phase == RunPhase::Running && it->targetSpeedPercent != it->speedPercent && isReachable(*worker)) {
+                it->orderInFlight = true;
+                orders.paces.push_back({address, subtask, it->number, it->targetSpeedPercent, fenceAt(id)});
+            }
+        }
+    }
+    for (auto &it : m_unknownRuns) {
+        const auto worker = m_workers.find(it.workerId);
+        if (worker != m_workers.end() && now - it.lastOrderAt >= m_times.resendInterval) {
+            it.lastOrderAt = now;
+            orders.stops.push_back({{it.workerId, worker->second->entry.address}, it.subtask, it.run, fenceAt(it.workerId)});
+        }
+    }
+    return orders;
+}
+
+} // namespace hibiscusbridge::jobs
