Keep calls that wait for a connection out of libcurl

Seen: an owner that has thousands of starts to send uses a whole core for many seconds; nothing runs, nothing is accepted, its leases run out. 85 % of the sampled stacks are in libcurl below collectFinished. Cause: with a limit of connections to an address, libcurl 7.88 keeps the other transfers in one list, and the end of each transfer looks at all of them, so that n calls cost n squared. Change: libcurl gets as many transfers as there are connections. The others wait in a queue for each address, ordered by priority and arrival. The time-out covers the wait. A call whose time is over, that may not be sent any more, or that finds 256 others waiting, ends as not sent, each callback once.

--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -31,11 +31,35 @@
     bool bodyIsFramed() const;
 };
 
+namespace
+{
+
+struct WaitingCall {
+    TargetRequest request;
+    TargetPort::Callback callback;
+    Millis deadline; ///< boot clock
+};
+
+/// Priority and order of arrival.
+using WaitingKey = std::pair<CallPriority, std::uint64_t>;
+
+/// An address with a limited number of connections.
+struct Destination {
+    long transfers = 0;
+    /// Calls beyond the connections wait here: libcurl looks at all that wait in it whenever one transfer ends.
+    std::map<WaitingKey, WaitingCall> waiting;
+};
+
+} // namespace
+
 struct HttpClient::Multi {
     EventLoop &loop;
     HttpClientOptions options;
+    Clock clock = systemClock();
     CURLM *handle = nullptr;
     std::map<CURL *, std::unique_ptr<Transfer>> transfers;
+    std::map<std::string, Destination> destinations;
+    std::uint64_t lastWaiting = 0;
     /// Descriptors in the loop. Connections that wait for their next transfer stay there, since each request would
     /// otherwise add and remove its descriptor.
     enum class Use { Transfer, None };
@@ -50,6 +74,10 @@
     void setTimer(long delayMs);
     void act(curl_socket_t fd, int flags);
     void collectFinished();
+    void start(TargetRequest request, TargetPort::Callback callback);
+    void wait(Destination &destination, TargetRequest request, TargetPort::Callback callback);
+    void startWaiting(const std::string &address);
+    void reject(TargetPort::Callback callback, std::string error);
 };
 
 /// More idle handles than this are freed; a handle keeps about 20 KB.
@@ -268,6 +296,71 @@
         // The callback may send again or destroy the client, neither of which libcurl allows inside its calls.
         loop.post(
             [callback = std::move(transfer.callback), result = std::move(transfer.result)]() mutable { callback(std::move(result)); });
+        if (const auto it = destinations.find(transfer.request.address); it != destinations.end()) {
+            --it->second.transfers;
+            startWaiting(it->first);
+        }
+    }
+}
+
+void HttpClient::Multi::start(TargetRequest request, TargetPort::Callback callback)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->request = std::move(request);
+    transfer->callback = std::move(callback);
+    transfer->multi = this;
+    transfer->prepare(options);
+    CURL *const easy = transfer->easy;
+    transfers.emplace(easy, std::move(transfer));
+    curl_multi_add_handle(handle, easy);
+}
+
+void HttpClient::Multi::reject(TargetPort::Callback callback, std::string error)
+{
+    loop.post([callback = std::move(callback), error = std::move(error)]() mutable {
+        callback({.outcome = TargetOutcome::NotSent, .error = std::move(error)});
+    });
+}
+
+void HttpClient::Multi::wait(Destination &destination, TargetRequest request, TargetPort::Callback callback)
+{
+    if (destination.waiting.size() >= options.maxWaitingPerAddress) {
+        return reject(std::move(callback),
+                      std::to_string(destination.waiting.size()) + " calls wait for a connection to " + request.address);
+    }
+    const WaitingKey key{request.priority, ++lastWaiting};
+    const auto timeout = request.timeout;
+    loop.timers().after(timeout, [this, stillAlive = alive, key, address = request.address] {
+        const auto it = *stillAlive ? destinations.find(address) : destinations.end();
+        if (!*stillAlive || it == destinations.end()) {
+            return;
+        }
+        if (auto call = it->second.waiting.extract(key); !call.empty()) {
+            reject(std::move(call.mapped().callback), "no connection became free in time");
+        }
+    });
+    destination.waiting.emplace(key, WaitingCall{std::move(request), std::move(callback), clock.boot() + timeout});
+}
+
+/// Starts the calls that wait for one of the connections of the address, as far as there are free ones.
+void HttpClient::Multi::startWaiting(const std::string &address)
+{
+    const auto it = destinations.find(address);
+    while (it->second.transfers < options.maxConnectionsPerAddress && !it->second.waiting.empty()) {
+        auto call = std::move(it->second.waiting.extract(it->second.waiting.begin()).mapped());
+        const auto left = call.deadline - clock.boot();
+        if (left <= Millis{0}) {
+            reject(std::move(call.callback), "no connection became free in time");
+        } else if (call.request.mayStillSend && !call.request.mayStillSend()) {
+            reject(std::move(call.callback), "no longer allowed to send");
+        } else {
+            call.request.timeout = left;
+            ++it->second.transfers;
+            start(std::move(call.request), std::move(call.callback));
+        }
+    }
+    if (it->second.transfers == 0) {
+        destinations.erase(it);
     }
 }
 
@@ -313,14 +406,15 @@
 
 void HttpClient::send(TargetRequest request, TargetPort::Callback callback)
 {
-    auto transfer = std::make_unique<Transfer>();
-    transfer->request = std::move(request);
-    transfer->callback = std::move(callback);
-    transfer->multi = m_multi.get();
-    transfer->prepare(m_multi->options);
-    CURL *const easy = transfer->easy;
-    m_multi->transfers.emplace(easy, std::move(transfer));
-    curl_multi_add_handle(m_multi->handle, easy);
+    if (m_multi->options.maxConnectionsPerAddress == 0) {
+        return m_multi->start(std::move(request), std::move(callback));
+    }
+    auto &destination = m_multi->destinations[request.address];
+    if (destination.transfers >= m_multi->options.maxConnectionsPerAddress) {
+        return m_multi->wait(destination, std::move(request), std::move(callback));
+    }
+    ++destination.transfers;
+    m_multi->start(std::move(request), std::move(callback));
 }
 
 TargetPort HttpClient::port()
--- a/src/adapters/httpclient.hpp
+++ b/src/adapters/httpclient.hpp
@@ -19,8 +19,10 @@
     std::size_t maxBodyBytes = 4 << 20;
     /// Longest sum of response header lines.
     std::size_t maxHeaderBytes = 64 << 10;
-    /// Connections kept to one address; 0 for no limit.
+    /// Connections kept to one address; 0 for no limit. Other calls to the address wait.
     long maxConnectionsPerAddress = 0;
+    /// Calls to one address that may wait for a connection; one more is not sent.
+    std::size_t maxWaitingPerAddress = 256;
 };
 
 /// Sends each request at most once: libcurl's own retry on a fresh connection is refused, because the server may have
--- a/src/ports/target.hpp
+++ b/src/ports/target.hpp
@@ -11,6 +11,12 @@
 namespace hibiscusbridge
 {
 
+/// Order of the calls that wait for a connection to the same address; equal ones go in the order in which they came.
+enum class CallPriority {
+    High,
+    Normal,
+};
+
 struct TargetRequest {
     /// IP address and port of the VM.
     std::string address;
@@ -19,8 +25,9 @@
     std::string path;
     std::vector<Header> headers;
     std::string body;
-    /// Covers the whole exchange.
+    /// Covers the whole exchange and the wait for a connection.
     Millis timeout;
+    CallPriority priority = CallPriority::Normal;
     /// Called immediately before the first byte is sent; returning false cancels the exchange without sending anything.
     std::function<bool()> mayStillSend;
 };
--- a/tests/unit/httpclient_test.cpp
+++ b/tests/unit/httpclient_test.cpp
@@ -2,11 +2,14 @@
 #include "adapters/platformclient.hpp"
 #include "ports/conflicts.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <netinet/in.h>
 #include <optional>
+#include <set>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -180,3 +183,120 @@
     CHECK(conflictingKeys(status) == std::vector<std::string>{"once/pay/a b", "view/vm/\u00e4"});
     CHECK(conflictingKeys(absl::AbortedError("unnamed")).empty());
 }
+
+namespace
+{
+
+/// Sends calls to one address over at most three connections and runs the loop until all have ended.
+struct LimitedClient {
+    EventLoop loop;
+    HttpClient client;
+    Clock clock = systemClock();
+    std::size_t sent = 0;
+    std::vector<std::pair<std::size_t, TargetResult>> results; ///< number of the call, in the order of their ends
+
+    explicit LimitedClient(std::size_t maxWaiting)
+        : client(loop, {.maxConnectionsPerAddress = 3, .maxWaitingPerAddress = maxWaiting})
+    {
+    }
+
+    void send(TargetRequest request)
+    {
+        request.method = "POST";
+        request.path = "/";
+        client.send(std::move(request), [this, number = sent++](TargetResult answer) {
+            results.emplace_back(number, std::move(answer));
+            if (results.size() == sent) {
+                loop.stop();
+            }
+        });
+    }
+
+    std::size_t count(TargetOutcome outcome) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(results.begin(), results.end(), [&](const auto &it) { return it.second.outcome == outcome; }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("thousands of calls to one address take time that grows with their number and do not hold up timers", "[httpclient]")
+{
+    // Guards against an owner that stands still: libcurl looks at all transfers that wait in it whenever one ends.
+    constexpr Millis longestDelay{1'000}; // Urgent work starts within 2.2 s.
+    Millis longest;
+    const auto timeFor = [&longest](std::size_t n) {
+        ScriptedServer server({goodAnswer});
+        LimitedClient test(n);
+        const auto begin = std::clock();
+        for (std::size_t i = 0; i < n; ++i) {
+            test.send({.address = server.address(), .timeout = {60'000}});
+        }
+        Millis lastTick = test.clock.boot();
+        std::function<void()> tick = [&] {
+            longest = std::max(longest, test.clock.boot() - lastTick);
+            lastTick = test.clock.boot();
+            test.loop.timers().after({10}, tick);
+        };
+        tick();
+        test.loop.run();
+        CHECK(test.count(TargetOutcome::Answered) == n);
+        CHECK(server.requests() == static_cast<int>(n));
+        CHECK(server.connections() <= 3);
+        return std::clock() - begin;
+    };
+    const auto few = timeFor(1'000);
+    const auto many = timeFor(8'000);
+    CHECK(many < few * 16); // 64 times as long if each end looks at all that wait
+    CHECK(longest < longestDelay);
+}
+
+TEST_CASE("calls that wait for a connection go by priority, and those that may not go any more end at once", "[httpclient]")
+{
+    ScriptedServer server({goodAnswer});
+    LimitedClient test(100);
+    const TargetRequest plain{.address = server.address(), .timeout = {5'000}};
+    for (int i = 0; i < 20; ++i) {
+        test.send(plain);
+    }
+    auto withdrawn = plain;
+    withdrawn.mayStillSend = [] {
+        return false;
+    };
+    test.send(withdrawn); // number 20
+    auto urgent = plain;
+    urgent.priority = CallPriority::High;
+    test.send(urgent); // number 21
+    test.loop.run();
+    const auto positionOf = [&](std::size_t number) {
+        return std::find_if(test.results.begin(), test.results.end(), [&](const auto &it) { return it.first == number; })
+               - test.results.begin();
+    };
+    CHECK(positionOf(21) < 8);
+    CHECK(test.results[static_cast<std::size_t>(positionOf(20))].second.outcome == TargetOutcome::NotSent);
+    CHECK(test.count(TargetOutcome::Answered) == 21);
+    CHECK(server.requests() == 21);
+}
+
+TEST_CASE("a call that waits too long for a connection, or behind too many others, ends once and is not sent", "[httpclient]")
+{
+    ScriptedServer server({"silent"});
+    LimitedClient test(5);
+    const auto begin = test.clock.boot();
+    for (int i = 0; i < 12; ++i) {
+        test.send({.address = server.address(), .timeout = {i < 3 ? 1'000 : 300}});
+    }
+    test.loop.run();
+    CHECK(test.count(TargetOutcome::Unknown) == 3);
+    CHECK(test.count(TargetOutcome::NotSent) == 9);
+    CHECK(server.requests() == 3);
+    CHECK(test.results[0].second.error == "5 calls wait for a connection to " + server.address());
+    CHECK(test.results[4].second.error == "no connection became free in time");
+    CHECK(test.clock.boot() - begin < Millis{2'500});
+    std::set<std::size_t> numbers;
+    for (const auto &[number, result] : test.results) {
+        numbers.insert(number);
+    }
+    CHECK(numbers.size() == 12);
+}
