Send a worker only as many orders as its connections carry soon

Seen: small jobs behind a job with thousands of subtasks wait until all of its starts have been sent; an owner with thousands of runs on a worker looks through all of them for each run that the worker lists and for each start. Cause: every start was handed over at once, in the order of the commits, and could not be passed by a more urgent one or taken back. findRun and fitsOnWorker walk through the runs of the worker once for each event. Change: at most 32 orders to a worker are in flight. The others stay with the pool and follow as answers come: stops, paces, then starts, of which members of gangs go first, then higher priorities, then jobs by turns. Starts that were never sent are dropped with their job, without a stop. An order that got no connection is no attempt. findRun goes by the job, and fitsOnWorker adds up runs only if the sum of all does not fit.

--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -32,6 +32,12 @@
 {
 }
 
+static bool hasSubtask(const JobSpec &spec, const SubtaskId &id)
+{
+    return id.occurrence < occurrenceCount(spec) && id.step < static_cast<int>(spec.steps.size())
+           && id.index < spec.steps[static_cast<std::size_t>(id.step)].count;
+}
+
 static SubtaskId idOf(const Run &run)
 {
     return {run.job->spec.id, run.occurrence, run.step, run.index};
@@ -166,15 +172,20 @@
     markChanged(job);
 }
 
-Run *Pool::findRun(Worker &worker, const SubtaskId &subtask, int number) const
+Run *Pool::findRun(const Worker &worker, const SubtaskId &subtask, int number) const
 {
-    for (Run *const it : worker.runs) {
-        if (it->number == number && it->index == subtask.index && it->step == subtask.step && it->occurrence == subtask.occurrence
-            && it->job->spec.id == subtask.job) {
-            return it;
-        }
+    // By the job, as a worker may have thousands of runs and lists all of them each time.
+    const auto found = m_jobs.find(subtask.job);
+    if (found == m_jobs.end() || !hasSubtask(found->second->spec, subtask)) {
+        return nullptr;
     }
-    return nullptr;
+    const auto &runs = found->second
+                           ->occurrences[static_cast<std::size_t>(subtask.occurrence)][static_cast<std::size_t>(subtask.step)]
+                                        [static_cast<std::size_t>(subtask.index)]
+                           .runs;
+    const auto it =
+        std::find_if(runs.begin(), runs.end(), [&](const auto &run) { return run->worker == &worker && run->number == number; });
+    return it != runs.end() ? it->get() : nullptr;
 }
 
 void Pool::stopRuns(Job &job, Millis now)
@@ -185,7 +196,7 @@
                 std::vector<Run *> unsent;
                 for (const auto &it : subtask.runs) {
                     it->stopRequested = true;
-                    if (it->phase == RunPhase::Placed) {
+                    if (isUnsent(*it) && it->phase != RunPhase::Committing) {
                         unsent.push_back(it.get());
                     }
                 }
@@ -535,8 +546,7 @@
         return;
     }
     auto &job = *found->second;
-    if (id.occurrence >= occurrenceCount(job.spec) || id.step >= static_cast<int>(job.spec.steps.size())
-        || id.index >= job.spec.steps[static_cast<std::size_t>(id.step)].count) {
+    if (!hasSubtask(job.spec, id)) {
         logEvent(LogLevel::Warn, "end_of_unknown_subtask", {{"worker", worker.entry.id}, {"subtask", toString(id)}, {"run", end.run}});
         return;
     }
@@ -609,6 +619,7 @@
     }
     run->orderInFlight = false;
     run->unsent = result.outcome == OrderOutcome::NotSent;
+    run->attempts -= run->unsent ? 1 : 0;
     if (result.outcome == OrderOutcome::Accepted) {
         run->job->begun = true;
         if (run->phase == RunPhase::Starting) {
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -247,7 +247,7 @@
     /// Returns rows to commit, about `maxRows` at most, that fit into a transaction; all rows of a job are in the same one. Their runs
     /// stay in `Committing` until `onRecordsCommitted` or `onCommitFailed`.
     std::vector<JobRow> takeRecords(std::size_t maxRows, const StoreLimits &limits = {});
-    /// Call after the rows of the last `takeRecords` were committed. Returns the starts to send.
+    /// Call after the rows of the last `takeRecords` were committed. Returns the starts to send; `dueOrders` returns others later.
     PoolOrders onRecordsCommitted(Millis now);
     void onCommitFailed();
     /// Call in place of `onCommitFailed` if the store does not take the rows of the last `takeRecords`, which were of a single job. Its
@@ -258,8 +258,13 @@
     {
         m_changed.resume();
     }
-    /// Returns the stops, unsent starts and throttle changes that are due.
+    /// Returns the stops, unsent starts and throttle changes that are due, as far as their workers may have more orders in flight.
     PoolOrders dueOrders(Millis now);
+    /// True if orders wait until others to the same worker are answered.
+    bool hasOrdersHeldBack() const
+    {
+        return m_ordersHeldBack;
+    }
     /// Whether a start that was returned earlier, and may have waited for a connection since, may still be sent.
     bool mayStillSend(const StartOrder &order) const;
     std::optional<AdviceRequest> nextAdviceRequest(Millis now);
@@ -323,7 +328,7 @@
     Run &addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker);
     /// Removes a run that can no longer be on its worker.
     void dropRun(Run &run, Millis now, const char *reason);
-    Run *findRun(Worker &worker, const SubtaskId &subtask, int number) const;
+    Run *findRun(const Worker &worker, const SubtaskId &subtask, int number) const;
     void onEnd(Worker &worker, const RunEndReport &end, Millis now, Millis wall);
     void finishSubtask(Job &job, int occurrence, int step, int index, Millis now, Millis wall);
     void finishJob(Job &job, JobPhase phase, Millis now, Millis wall, const char *reason);
@@ -367,6 +372,11 @@
     void placeStep(const Ready &ready, Round &round, Millis now);
     std::optional<std::size_t> chooseForSuspect(const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const;
     StartOrder makeStart(Run &run, Millis now);
+    /// How many more orders may be sent to the worker now.
+    static int freeOrders(const Worker &worker);
+    void addStops(Worker &worker, int &room, Millis now, PoolOrders &orders);
+    void addPaces(Worker &worker, int &room, PoolOrders &orders);
+    void addStarts(Worker &worker, int room, Millis now, PoolOrders &orders);
     bool needsAdvice(Job &job, int occurrence, int step, Millis now);
 
     std::string m_name;
@@ -401,6 +411,7 @@
     std::map<std::pair<std::string, std::int64_t>, WorkerLoss> m_recentLosses;
     /// Subtasks whose job fails in the next scheduling pass.
     std::vector<SubtaskId> m_givenUp;
+    bool m_ordersHeldBack = false;
     std::vector<AdviceRequest> m_adviceRequests;
     /// Estimated work of a recently submitted job, in core-milliseconds.
     struct Arrival {
--- a/src/scheduling/poolorders.cpp
+++ b/src/scheduling/poolorders.cpp
@@ -2,12 +2,16 @@
 #include "scheduling/pool.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace hibiscusbridge::jobs
 {
 
 /// An accepted stop is sent again if the run's end is not listed within this time.
 constexpr Millis stopRetryInterval{2'000};
+/// Orders in flight to one worker. It has a few connections, and an order that waits for one can't be passed by a more urgent one.
+constexpr int maxOrdersPerWorker = 32;
 
 StartOrder Pool::makeStart(Run &run, Millis now)
 {
@@ -47,6 +51,9 @@
 bool Pool::fitsOnWorker(const Run &run) const
 {
     auto used = unknownLoad(*run.worker);
+    if (fits(used + run.worker->used, run.worker->entry.capacity)) {
+        return true;
+    }
     for (const Run *const it : run.worker->runs) {
         const bool startsWithRun = it == &run || (stepOf(run).gang && isSameStep(*it, run));
         used = startsWithRun || !isUnsent(*it) ? used + it->reserved : used;
@@ -137,36 +144,112 @@
     }
 }
 
+/// Returns the runs of the worker whose start is due, in the order in which they are sent. Members of gangs go first, since those that
+/// run already wait for them. Jobs of equal priority take turns, so that a small job does not wait for all subtasks of a large one.
+static std::vector<Run *> startsInOrder(const Worker &worker, Millis retriedBefore)
+{
+    struct Start {
+        bool inGang = false;
+        int priority = 0; ///< 0 is the highest
+        int turn = 0;
+        std::uint64_t sequence = 0;
+        Run *run = nullptr;
+    };
+    std::vector<Start> starts;
+    std::map<const Job *, int> turns;
+    for (Run *const it : worker.runs) {
+        const bool triedRecently = it->lastOrderAt.count > 0 && it->lastOrderAt > retriedBefore;
+        if (it->phase != RunPhase::Starting || !it->unsent || it->orderInFlight || it->stopRequested || triedRecently) {
+            continue;
+        }
+        const bool inGang = it->job->spec.steps[static_cast<std::size_t>(it->step)].gang;
+        starts.push_back({inGang, it->job->spec.policy.priority, turns[it->job]++, it->job->sequence, it});
+    }
+    std::stable_sort(starts.begin(), starts.end(), [](const Start &a, const Start &b) {
+        return std::tie(b.inGang, a.priority, a.turn, a.sequence) < std::tie(a.inGang, b.priority, b.turn, b.sequence);
+    });
+    std::vector<Run *> runs;
+    std::transform(starts.begin(), starts.end(), std::back_inserter(runs), [](const Start &it) { return it.run; });
+    return runs;
+}
+
+int Pool::freeOrders(const Worker &worker)
+{
+    const auto inFlight = std::count_if(worker.runs.begin(), worker.runs.end(), [](const Run *it) { return it->orderInFlight; });
+    return std::max(maxOrdersPerWorker - static_cast<int>(inFlight), 0);
+}
+
+void Pool::addStarts(Worker &worker, int room, Millis now, PoolOrders &orders)
+{
+    for (Run *const it : startsInOrder(worker, now - m_times.resendInterval)) {
+        if (room == 0) {
+            m_ordersHeldBack = true;
+            return;
+        }
+        if (!startObstacle(*it)) {
+            orders.starts.push_back(makeStart(*it, now));
+            --room;
+        }
+    }
+}
+
+void Pool::addStops(Worker &worker, int &room, Millis now, PoolOrders &orders)
+{
+    const WorkerAddress address{worker.entry.id, worker.entry.address};
+    for (Run *const it : worker.runs) {
+        if (!it->stopRequested || it->orderInFlight || it->phase == RunPhase::Placed || it->phase == RunPhase::Committing) {
+            continue;
+        }
+        const auto pause = it->stopAccepted ? stopRetryInterval : m_times.resendInterval;
+        if (!isReachable(worker) || (it->lastStopAt.count != 0 && now - it->lastStopAt < pause)) {
+            continue;
+        }
+        if (room == 0) {
+            m_ordersHeldBack = true;
+            return;
+        }
+        it->orderInFlight = true;
+        it->lastStopAt = now;
+        orders.stops.push_back({address, {it->job->spec.id, it->occurrence, it->step, it->index}, it->number, fenceAt(worker.entry.id)});
+        --room;
+    }
+}
+
+void Pool::addPaces(Worker &worker, int &room, PoolOrders &orders)
+{
+    const WorkerAddress address{worker.entry.id, worker.entry.address};
+    for (Run *const it : worker.runs) {
+        if (it->stopRequested || it->orderInFlight || it->phase != RunPhase::Running || it->targetSpeedPercent == it->speedPercent
+            || !isReachable(worker)) {
+            continue;
+        }
+        if (room == 0) {
+            m_ordersHeldBack = true;
+            return;
+        }
+        it->orderInFlight = true;
+        orders.paces.push_back({address,
+                                {it->job->spec.id, it->occurrence, it->step, it->index},
+                                it->number,
+                                it->targetSpeedPercent,
+                                fenceAt(worker.entry.id)});
+        --room;
+    }
+}
+
 PoolOrders Pool::dueOrders(Millis now)
 {
     PoolOrders orders;
     withdrawUnstartable(now);
+    m_ordersHeldBack = false;
     for (auto &[id, worker] : m_workers) {
-        if (worker->entry.address.empty()) {
+        if (worker->entry.address.empty() || worker->runs.empty()) {
             continue;
         }
-        const WorkerAddress address{worker->entry.id, worker->entry.address};
-        for (Run *const it : worker->runs) {
-            if (it->orderInFlight || it->phase == RunPhase::Placed || it->phase == RunPhase::Committing) {
-                continue;
-            }
-            const SubtaskId subtask{it->job->spec.id, it->occurrence, it->step, it->index};
-            if (it->stopRequested) {
-                const auto pause = it->stopAccepted ? stopRetryInterval : m_times.resendInterval;
-                if (isReachable(*worker) && (it->lastStopAt.count == 0 || now - it->lastStopAt >= pause)) {
-                    it->orderInFlight = true;
-                    it->lastStopAt = now;
-                    orders.stops.push_back({address, subtask, it->number, fenceAt(id)});
-                }
-                continue;
-            }
-            if (it->phase == RunPhase::Starting && it->unsent && now - it->lastOrderAt >= m_times.resendInterval && !startObstacle(*it)) {
-                orders.starts.push_back(makeStart(*it, now));
-            } else if (it->phase == RunPhase::Running && it->targetSpeedPercent != it->speedPercent && isReachable(*worker)) {
-                it->orderInFlight = true;
-                orders.paces.push_back({address, subtask, it->number, it->targetSpeedPercent, fenceAt(id)});
-            }
-        }
+        int room = freeOrders(*worker);
+        addStops(*worker, room, now, orders);
+        addPaces(*worker, room, orders);
+        addStarts(*worker, room, now, orders);
     }
     for (auto &it : m_unknownRuns) {
         const auto worker = m_workers.find(it.workerId);
--- a/src/scheduling/poolrecords.cpp
+++ b/src/scheduling/poolrecords.cpp
@@ -139,7 +139,7 @@
 
 PoolOrders Pool::onRecordsCommitted(Millis now)
 {
-    PoolOrders orders;
+    std::set<Worker *> workers;
     for (const auto &[id, change] : m_changed.inFlight()) {
         const auto it = m_jobs.find(id);
         if (it == m_jobs.end()) {
@@ -153,8 +153,8 @@
             run.phase = RunPhase::Starting;
             if (run.stopRequested) {
                 unwanted.push_back(&run);
-            } else if (!startObstacle(run)) {
-                orders.starts.push_back(makeStart(run, now));
+            } else {
+                workers.insert(run.worker);
             }
         });
         for (Run *const run : unwanted) {
@@ -165,6 +165,12 @@
     for (auto &[id, worker] : m_workers) {
         worker->ackCursor = std::max(worker->ackCursor, worker->ackInFlight);
     }
+    PoolOrders orders;
+    for (auto &[id, worker] : m_workers) {
+        if (workers.contains(worker.get()) && !worker->entry.address.empty()) {
+            addStarts(*worker, freeOrders(*worker), now, orders);
+        }
+    }
     return orders;
 }
 
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -418,6 +418,13 @@
         });
 }
 
+void PoolOwner::onOrderAnswered()
+{
+    if (m_pool->hasOrdersHeldBack()) {
+        scheduleRun();
+    }
+}
+
 void PoolOwner::sendOrders(PoolOrders orders)
 {
     for (auto &it : orders.starts) {
@@ -437,6 +444,7 @@
             if (result.outcome != OrderOutcome::Accepted) {
                 scheduleRun();
             }
+            onOrderAnswered();
         });
     }
     for (auto &it : orders.stops) {
@@ -445,6 +453,7 @@
             std::move(it), m_times.orderTimeout, m_ports.isSoleOwner, [this, alive = m_alive, order](const OrderResult &result) {
                 if (*alive) {
                     m_pool->onStop(order, result, m_ports.clock.boot());
+                    onOrderAnswered();
                 }
             });
     }
@@ -454,6 +463,7 @@
             std::move(it), m_times.orderTimeout, m_ports.isOwner, [this, alive = m_alive, order](const OrderResult &result) {
                 if (*alive) {
                     m_pool->onPace(order, result);
+                    onOrderAnswered();
                 }
             });
     }
--- a/src/shards/poolowner.hpp
+++ b/src/shards/poolowner.hpp
@@ -109,6 +109,8 @@
     void sendSlowProbe(const std::string &id);
     bool isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const;
     void sendOrders(PoolOrders orders);
+    /// Sends the orders that waited for the answer.
+    void onOrderAnswered();
     void requestAdvice(Millis now);
     void commit(Millis now);
     void onRowsRejected(const std::vector<JobRow> &rows, const std::string &error);
