Replace a dead owner although some store calls fail

Seen: accepted jobs of a pool whose owner is dead don't run for 50 s and more while the store refuses calls for half a second now and then. Cause: each failed poll set the age of all leases back to zero, because their owners may have been unable to renew them. A claim needs 2 s in a row without a failure. Change: the time without an answered poll is left out of the age, the time before it counts. No lease expires while the last poll failed.

--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -112,6 +112,7 @@
         }
         const auto now = m_clock.boot();
         if (result.outcome == ReadOutcome::Answered) {
+            skipUnobserved(now);
             for (const auto &it : result.rows) {
                 onRenewalRow(it);
             }
@@ -129,9 +130,7 @@
                     }
                 });
             }
-            for (auto &[name, shard] : m_shards) {
-                shard.owner.changedAt = now;
-            }
+            m_observing = false;
         }
         evaluateClaims();
         m_timers.after(m_times.pollInterval, [this, alive] {
@@ -142,6 +141,24 @@
     });
 }
 
+/// Leaves the time without an answered poll out of the age of all leases: their owners may have been unable to renew them. The time
+/// before it still counts, since otherwise a store that fails now and then would keep a dead owner for good.
+void Leases::skipUnobserved(Millis now)
+{
+    if (m_observing) {
+        return;
+    }
+    m_observing = true;
+    for (auto &[name, shard] : m_shards) {
+        shard.owner.changedAt = std::min(shard.owner.changedAt + (now - m_lastAnswerAt), now);
+    }
+}
+
+bool Leases::isExpired(const ShardOwnerInfo &owner) const
+{
+    return m_observing && m_clock.boot() - owner.changedAt >= m_times.leaseDuration;
+}
+
 void Leases::watchClaims()
 {
     const auto wait = m_claimsRead ? claimFeedWait : Millis{0};
@@ -321,7 +338,7 @@
     // A claim under this entry's name that this process did not make was left by its previous process on this VM.
     const bool reservedForOther = shard.owner.holder.empty() && !shard.owner.successor.empty() && shard.owner.successor != m_self.name;
     const bool vacant = !shard.known || (shard.owner.holder.empty() && !reservedForOther) || shard.owner.holder == m_self.name;
-    if (!vacant && now - shard.owner.changedAt < m_times.leaseDuration) {
+    if (!vacant && !isExpired(shard.owner)) {
         shard.claimAt = {};
         return;
     }
@@ -542,11 +559,9 @@
 std::map<std::string, ShardHolder> Leases::heldByOthers() const
 {
     std::map<std::string, ShardHolder> shards;
-    const auto now = m_clock.boot();
     for (const auto &[name, shard] : m_shards) {
         const auto &owner = shard.owner;
-        if (shard.wanted && shard.known && !shard.held && !owner.holder.empty() && owner.holder != m_self.name
-            && now - owner.changedAt < m_times.leaseDuration) {
+        if (shard.wanted && shard.known && !shard.held && !owner.holder.empty() && owner.holder != m_self.name && !isExpired(owner)) {
             shards[name] = {owner.holder, owner.address, owner.cpu};
         }
     }
--- a/src/shards/leases.hpp
+++ b/src/shards/leases.hpp
@@ -48,7 +48,7 @@
     std::uint64_t fence = 0;
     /// Status text that the owner publishes with each renewal.
     std::string status;
-    /// Boot clock: when a change of the claim or of its renewal was last observed.
+    /// Boot clock: when a change of the claim or of its renewal was last observed, moved on by the times in which polls failed.
     Millis changedAt;
 };
 
@@ -146,6 +146,8 @@
     void readClaim(const std::string &name);
     void onClaimRow(const Row &row);
     void onRenewalRow(const Row &row);
+    void skipUnobserved(Millis now);
+    bool isExpired(const ShardOwnerInfo &owner) const;
     void evaluateClaims();
     void evaluateClaim(const std::string &name, Shard &shard);
     Millis claimTime(const std::string &name) const;
@@ -171,6 +173,8 @@
     bool m_claimsRead = false;
     /// The claim feed was followed from its first change, so that a shard without a claim row has never been claimed.
     bool m_claimHistoryComplete = false;
+    /// The last poll was answered. No lease expires meanwhile if it was not.
+    bool m_observing = true;
     bool m_stopping = false;
     /// Callback of `stop`; null before `stop` and after it has run.
     std::function<void()> m_stopped;
