Fail no job because one VM crashes again and again

Cause: two crashes right after starts of a subtask were taken as proof against it, even if both were of the same worker, and the next run of a suspect preferred the emptiest worker, which is the one that has just come back. Change: a record of a crash holds the VM. A proof takes two VMs; the limit of four crashes stays, so that a pool with a single VM does not start a deadly subtask without end. The next run of a suspect, and of a gang with one, goes to a VM that has not crashed under it if any fits. Evidence: the two new tests.

--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -199,6 +199,9 @@
             addWorker(row, it.workerId, it.workerStartedAt, table);
             row.push_back(static_cast<int>(it.suspicion));
             row.push_back(it.confirmed);
+            if (!it.vm.empty()) {
+                row.push_back(it.vm);
+            }
             crashes.push_back(std::move(row));
         }
         json.push_back(std::move(crashes));
@@ -223,6 +226,7 @@
     const auto suspicion = std::clamp(toInt(json.at(next)), 0, static_cast<int>(Suspicion::SoleSuspect));
     crash.suspicion = static_cast<Suspicion>(suspicion);
     crash.confirmed = json.at(next + 1).get<bool>();
+    crash.vm = json.size() > next + 2 ? json.at(next + 2).get<std::string>() : std::string();
     return crash;
 }
 
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -147,6 +147,8 @@
     Suspicion suspicion = Suspicion::PossibleStart;
     /// A later incarnation has been seen. Until then the worker may only be unreachable.
     bool confirmed = false;
+    /// Empty in records of earlier versions, or if the recording owner did not know it.
+    std::string vm;
 
     bool operator==(const CrashRecord &) const = default;
 };
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -2,12 +2,13 @@
 #include "scheduling/crashes.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscusbridge::jobs
 {
 
-/// Crashes that a subtask proven to be the cause has had at least.
-constexpr int minCrashesOfCause = 2;
+/// VMs that a subtask proven to be the cause has crashed at least. A VM that crashes again and again may do so by itself.
+constexpr std::size_t minVmsOfCause = 2;
 /// A subtask with this many crashes is not started again, proven or not.
 constexpr int maxCrashes = 4;
 
@@ -18,11 +19,22 @@
 
 bool mustGiveUp(std::span<const CrashRecord> crashes)
 {
-    const auto count = [&](Suspicion least) {
-        return std::count_if(crashes.begin(), crashes.end(), [&](const CrashRecord &it) { return it.confirmed && it.suspicion >= least; });
-    };
-    const bool proven = count(Suspicion::SoleSuspect) > 0 && count(Suspicion::RecentStart) >= minCrashesOfCause;
-    return proven || count(Suspicion::PossibleStart) >= maxCrashes;
+    std::set<std::string_view> vms;
+    bool wasSoleSuspect = false;
+    for (const auto &it : crashes) {
+        if (it.confirmed && it.suspicion >= Suspicion::RecentStart) {
+            vms.insert(it.vm.empty() ? it.workerId : it.vm);
+            wasSoleSuspect = wasSoleSuspect || it.suspicion == Suspicion::SoleSuspect;
+        }
+    }
+    const bool proven = wasSoleSuspect && vms.size() >= minVmsOfCause;
+    return proven || confirmedCrashes(crashes) >= maxCrashes;
+}
+
+bool hasCrashed(std::span<const CrashRecord> crashes, std::string_view workerId, std::string_view vm)
+{
+    return std::any_of(
+        crashes.begin(), crashes.end(), [&](const CrashRecord &it) { return it.workerId == workerId || (!vm.empty() && it.vm == vm); });
 }
 
 std::vector<std::optional<Suspicion>> attributeCrash(std::span<const LostRun> runs)
--- a/src/scheduling/crashes.hpp
+++ b/src/scheduling/crashes.hpp
@@ -2,8 +2,8 @@
 // clocks or network.
 //
 // A worker that crashes takes every run on it along, and only one of them may be the cause. The runs that had just been started come
-// under suspicion. The next run of a suspect goes to a worker on which nothing else is started meanwhile: if that worker crashes
-// at once as well, the suspect is the cause; otherwise it is cleared when it completes or has run long enough.
+// under suspicion. The next run of a suspect goes to a worker on another VM on which nothing else is started meanwhile: if that worker
+// crashes at once as well, the suspect is the cause; otherwise it is cleared when it completes or has run long enough.
 #pragma once
 
 #include "helpers/millis.hpp"
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hibiscusbridge::jobs
@@ -29,6 +30,8 @@
 /// True if the subtask is proven to be the cause of its crashes, or if so many workers have crashed at its start that it may not be
 /// started again.
 bool mustGiveUp(std::span<const CrashRecord> crashes);
+/// True if the worker, or an earlier one on its VM, has crashed under the subtask.
+bool hasCrashed(std::span<const CrashRecord> crashes, std::string_view workerId, std::string_view vm);
 /// Number of workers that are known to have crashed.
 int confirmedCrashes(std::span<const CrashRecord> crashes);
 
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -344,15 +344,34 @@
     return std::nullopt;
 }
 
+/// The candidates without the VMs that have crashed under one of the subtasks: a second crash there would prove nothing.
+std::vector<Candidate> Pool::candidatesElsewhere(std::span<const Subtask> subtasks,
+                                                 std::span<const Candidate> candidates,
+                                                 const Round &round)
+{
+    std::vector<Candidate> elsewhere(candidates.begin(), candidates.end());
+    for (std::size_t i = 0; i < elsewhere.size(); ++i) {
+        const auto &worker = round.workers[i]->entry;
+        elsewhere[i].usable = elsewhere[i].usable && std::none_of(subtasks.begin(), subtasks.end(), [&](const Subtask &it) {
+                                  return hasCrashed(it.crashes, worker.id, worker.vm);
+                              });
+    }
+    return elsewhere;
+}
+
 /// Chooses a worker for a subtask that may crash it and keeps that worker from other starts. If something has just been started on every
 /// worker that fits, the quietest one is kept for a later pass.
-std::optional<std::size_t> Pool::chooseForSuspect(const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const
+std::optional<std::size_t> Pool::chooseForSuspect(
+    const Subtask &subtask, const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const
 {
     if (round.probations >= round.maxProbations) {
         return std::nullopt;
     }
-    const auto choice = jobs::chooseForSuspect(step, candidates, now - recentStartWindow);
-    if (const auto kept = choice ? choice : chooseQuietest(step, candidates)) {
+    const auto elsewhere = candidatesElsewhere({&subtask, 1}, candidates, round);
+    const bool fitsElsewhere = std::any_of(elsewhere.begin(), elsewhere.end(), [&](const Candidate &it) { return canTake(step, it); });
+    const auto &eligible = fitsElsewhere ? elsewhere : candidates;
+    const auto choice = jobs::chooseForSuspect(step, eligible, now - recentStartWindow);
+    if (const auto kept = choice ? choice : chooseQuietest(step, eligible)) {
         round.startProbation(*kept);
         candidates[*kept].usable = false;
     }
@@ -423,7 +442,9 @@
         if (suspect && round.probations >= round.maxProbations) {
             return;
         }
-        if (const auto chosen = chooseGang(step, candidates, step.count, suspect)) {
+        auto chosen = suspect ? chooseGang(step, candidatesElsewhere(subtasks, candidates, round), step.count, true) : std::nullopt;
+        chosen = chosen ? chosen : chooseGang(step, candidates, step.count, suspect);
+        if (chosen) {
             std::string checkpoint;
             for (const auto &it : subtasks) {
                 checkpoint = it.checkpoint.empty() ? checkpoint : it.checkpoint;
@@ -447,7 +468,7 @@
             return;
         }
         const bool suspect = !subtask.crashes.empty();
-        auto choice = suspect ? chooseForSuspect(step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
+        auto choice = suspect ? chooseForSuspect(subtask, step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
         if (!choice && step.longRunning && !advised) {
             choice = chooseOrReserve(ready, round, now);
             if (choice && suspect) {
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -370,7 +370,11 @@
     std::vector<Ready> readySteps(Millis now, Millis wall);
     std::optional<std::size_t> chooseOrReserve(const Ready &ready, Round &round, Millis now) const;
     void placeStep(const Ready &ready, Round &round, Millis now);
-    std::optional<std::size_t> chooseForSuspect(const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const;
+    static std::vector<Candidate> candidatesElsewhere(std::span<const Subtask> subtasks,
+                                                      std::span<const Candidate> candidates,
+                                                      const Round &round);
+    std::optional<std::size_t> chooseForSuspect(
+        const Subtask &subtask, const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const;
     StartOrder makeStart(Run &run, Millis now);
     /// How many more orders may be sent to the worker now.
     static int freeOrders(const Worker &worker);
--- a/src/scheduling/poolcrashes.cpp
+++ b/src/scheduling/poolcrashes.cpp
@@ -127,7 +127,7 @@
     if (known) {
         return;
     }
-    subtask.crashes.push_back({worker, run.incarnationStart, suspicion, confirmed});
+    subtask.crashes.push_back({worker, run.incarnationStart, suspicion, confirmed, run.worker->entry.vm});
     markChanged(job);
     const SubtaskId id{job.spec.id, run.occurrence, run.step, run.index};
     if (!confirmed) {
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -113,6 +113,58 @@
     CHECK_FALSE(isRackLoss(loss, other("r1", 11'000, false)));
 }
 
+TEST_CASE("crashes of one VM prove nothing against a subtask, whatever its workers are called")
+{
+    const auto recent = Suspicion::RecentStart;
+    const auto onVm = [](const std::string &worker, const std::string &vm, Suspicion suspicion) {
+        auto record = crash(worker, suspicion);
+        record.vm = vm;
+        return record;
+    };
+    std::vector<CrashRecord> crashes{onVm("a", "vm-1", recent), onVm("a", "vm-1", Suspicion::SoleSuspect)};
+    CHECK_FALSE(mustGiveUp(crashes));
+    crashes.push_back(onVm("b", "vm-1", Suspicion::SoleSuspect));
+    CHECK_FALSE(mustGiveUp(crashes));
+    CHECK(mustGiveUp(std::vector{crashes[0], onVm("c", "vm-2", Suspicion::SoleSuspect)}));
+    // A subtask that has only one VM to run on is not started without end.
+    crashes.push_back(onVm("d", "vm-1", recent));
+    CHECK(mustGiveUp(crashes));
+    CHECK(hasCrashed(crashes, "e", "vm-1"));
+    CHECK(hasCrashed(std::vector{crash("a", recent)}, "a", "vm-1"));
+    CHECK_FALSE(hasCrashed(std::vector{crash("a", recent)}, "b", ""));
+}
+
+TEST_CASE("a VM that crashes again and again fails no job that is started on it")
+{
+    // Guards against a job that is shown as failed although only its VM was at fault.
+    JobCluster cluster(1, 6);
+    cluster.workers.crashKeepsId = GENERATE(true, false);
+    CAPTURE(cluster.workers.crashKeepsId);
+    cluster.workers.crashDownTime = {1'000};
+    std::string current = "w0";
+    cluster.workers.replaced = [&](const WorkerRegistration &it) {
+        cluster.registerWorker(it);
+        current = it.id;
+    };
+    cluster.loop.advance(startupTime);
+    auto step = makeStep(4, 2'000, {600});
+    step.longRunning = true;
+    step.maxPerWorker = 1;
+    cluster.submit("e0", makeJob(jobId(1), {step}));
+    Millis lastStart;
+    for (int i = 0; i < 3'000; ++i) {
+        cluster.loop.advance({10});
+        if (const auto startedAt = cluster.workers.lastStarts[current]; startedAt > lastStart && cluster.workers.crashes < 3) {
+            lastStart = startedAt;
+            cluster.loop.advance({100});
+            cluster.workers.crash(current);
+        }
+    }
+    CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Running);
+    CHECK(cluster.workers.runningOf(jobId(1)) == 4);
+    CHECK(cluster.workers.violations.empty());
+}
+
 TEST_CASE("crashes are stored with the job, and records of earlier versions are read")
 {
     const auto spec = makeJob(jobId(1), {makeStep(2, 1'000, {100})});
@@ -120,6 +172,7 @@
     record.phase = JobPhase::Failed;
     record.failureReason = "subtask crashed 2 workers";
     record.occurrences[0][0][1].crashes = {crash("w1", Suspicion::SoleSuspect), crash("w2", Suspicion::RecentStart, false)};
+    record.occurrences[0][0][1].crashes[1].vm = "vm-2";
     CHECK(decodeRecord(spec, encodeRecord(record)) == record);
     const auto old = decodeRecord(spec, R"([1,0,[[[[0,[1],2,"",[[2,"w1",5]]],0]]]])");
     REQUIRE(old);
