Send waiting calls at once, and give each its whole time

Change: calls that follow are sent before the loop goes on. The wait for a connection and the exchange have a time-out each. Evidence: the new test fails without the change (3 of 6 calls answered).

--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -37,7 +37,7 @@
 struct WaitingCall {
     TargetRequest request;
     TargetPort::Callback callback;
-    Millis deadline; ///< boot clock
+    Millis waitsUntil; ///< boot clock
 };
 
 /// Priority and order of arrival.
@@ -73,10 +73,11 @@
     void onSocket(int fd, int what);
     void setTimer(long delayMs);
     void act(curl_socket_t fd, int flags);
-    void collectFinished();
+    /// Returns true if calls that waited were started.
+    bool collectFinished();
     void start(TargetRequest request, TargetPort::Callback callback);
     void wait(Destination &destination, TargetRequest request, TargetPort::Callback callback);
-    void startWaiting(const std::string &address);
+    bool startWaiting(const std::string &address);
     void reject(TargetPort::Callback callback, std::string error);
 };
 
@@ -247,7 +248,10 @@
 {
     int running = 0;
     curl_multi_socket_action(handle, fd, flags, &running);
-    collectFinished();
+    // Started calls are sent now: a round of the loop for each would add up at a late owner.
+    while (collectFinished()) {
+        curl_multi_socket_action(handle, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
 }
 
 void HttpClient::Multi::onSocket(int fd, int what)
@@ -281,8 +285,9 @@
     });
 }
 
-void HttpClient::Multi::collectFinished()
+bool HttpClient::Multi::collectFinished()
 {
+    bool started = false;
     int left = 0;
     while (const CURLMsg *const message = curl_multi_info_read(handle, &left)) {
         if (message->msg != CURLMSG_DONE) {
@@ -298,9 +303,10 @@
             [callback = std::move(transfer.callback), result = std::move(transfer.result)]() mutable { callback(std::move(result)); });
         if (const auto it = destinations.find(transfer.request.address); it != destinations.end()) {
             --it->second.transfers;
-            startWaiting(it->first);
+            started = startWaiting(it->first) || started;
         }
     }
+    return started;
 }
 
 void HttpClient::Multi::start(TargetRequest request, TargetPort::Callback callback)
@@ -342,26 +348,27 @@
     destination.waiting.emplace(key, WaitingCall{std::move(request), std::move(callback), clock.boot() + timeout});
 }
 
-/// Starts the calls that wait for one of the connections of the address, as far as there are free ones.
-void HttpClient::Multi::startWaiting(const std::string &address)
+/// Starts the calls that wait for one of the connections of the address, as far as there are free ones. Returns true if it started one.
+bool HttpClient::Multi::startWaiting(const std::string &address)
 {
+    bool started = false;
     const auto it = destinations.find(address);
     while (it->second.transfers < options.maxConnectionsPerAddress && !it->second.waiting.empty()) {
         auto call = std::move(it->second.waiting.extract(it->second.waiting.begin()).mapped());
-        const auto left = call.deadline - clock.boot();
-        if (left <= Millis{0}) {
+        if (call.waitsUntil <= clock.boot()) {
             reject(std::move(call.callback), "no connection became free in time");
         } else if (call.request.mayStillSend && !call.request.mayStillSend()) {
             reject(std::move(call.callback), "no longer allowed to send");
         } else {
-            call.request.timeout = left;
             ++it->second.transfers;
             start(std::move(call.request), std::move(call.callback));
+            started = true;
         }
     }
     if (it->second.transfers == 0) {
         destinations.erase(it);
     }
+    return started;
 }
 
 HttpClient::HttpClient(EventLoop &loop, HttpClientOptions options)
--- a/src/ports/target.hpp
+++ b/src/ports/target.hpp
@@ -25,7 +25,8 @@
     std::string path;
     std::vector<Header> headers;
     std::string body;
-    /// Covers the whole exchange and the wait for a connection.
+    /// Covers the whole exchange. A call that waits for one of the connections to its address does so for as long at most, and has all of
+    /// this time once it is sent: cut short, an exchange would end with an unknown outcome.
     Millis timeout;
     CallPriority priority = CallPriority::Normal;
     /// Called immediately before the first byte is sent; returning false cancels the exchange without sending anything.
--- a/tests/unit/httpclient_test.cpp
+++ b/tests/unit/httpclient_test.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cstring>
 #include <ctime>
 #include <netinet/in.h>
 #include <optional>
@@ -21,8 +22,10 @@
 
 constexpr auto goodAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+constexpr Millis slowAnswerTime{350};
+
 /// Answers the n-th request of the test with the n-th script; an empty script closes the connection, "silent" keeps it
-/// open without an answer. Counts requests.
+/// open without an answer, "slow" gives a good answer after `slowAnswerTime`. Counts requests.
 class ScriptedServer
 {
 public:
@@ -84,6 +87,11 @@
             if (script == "silent") {
                 continue;
             }
+            if (script == "slow") {
+                usleep(static_cast<useconds_t>(slowAnswerTime.count * 1'000));
+                (void)!send(fd, goodAnswer, std::strlen(goodAnswer), MSG_NOSIGNAL);
+                continue;
+            }
             (void)!send(fd, script.data(), script.size(), MSG_NOSIGNAL);
             if (!script.ends_with("ok")) {
                 break;
@@ -284,6 +292,18 @@
     CHECK(server.requests() == static_cast<int>(normal) + 1);
 }
 
+TEST_CASE("a call that has waited for a connection has its whole time for the exchange", "[httpclient]")
+{
+    // Guards against starts that are sent with some milliseconds left, whose outcome is then unknown.
+    ScriptedServer server({"slow"});
+    LimitedClient test(100);
+    for (int i = 0; i < 6; ++i) {
+        test.send({.address = server.address(), .timeout = slowAnswerTime * 3 / 2});
+    }
+    test.loop.run();
+    CHECK(test.count(TargetOutcome::Answered) == 6);
+}
+
 TEST_CASE("a call that waits too long for a connection, or behind too many others, ends once and is not sent", "[httpclient]")
 {
     ScriptedServer server({"silent"});
