Leave room for renewals and starts behind orders that are refused

Stops of runs that the pool does not know bypassed the bound of orders, could fill the queue of the worker, and the next renewal of its lease was then rejected as not sent, which counts as a miss. Paces that a worker refuses were due again at once and could take all places of the starts. Change: a call of high priority waits however many others do; stops of unknown runs are limited to 64 within the resend interval, paces to 8 at a time.

--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -330,7 +330,7 @@
 
 void HttpClient::Multi::wait(Destination &destination, TargetRequest request, TargetPort::Callback callback)
 {
-    if (destination.waiting.size() >= options.maxWaitingPerAddress) {
+    if (request.priority != CallPriority::High && destination.waiting.size() >= options.maxWaitingPerAddress) {
         return reject(std::move(callback),
                       std::to_string(destination.waiting.size()) + " calls wait for a connection to " + request.address);
     }
--- a/src/adapters/httpclient.hpp
+++ b/src/adapters/httpclient.hpp
@@ -21,7 +21,7 @@
     std::size_t maxHeaderBytes = 64 << 10;
     /// Connections kept to one address; 0 for no limit. Other calls to the address wait.
     long maxConnectionsPerAddress = 0;
-    /// Calls to one address that may wait for a connection; one more is not sent.
+    /// Calls to one address that may wait for a connection; one more is not sent, unless it has a high priority.
     std::size_t maxWaitingPerAddress = 256;
 };
 
--- a/src/scheduling/poolorders.cpp
+++ b/src/scheduling/poolorders.cpp
@@ -12,6 +12,10 @@
 constexpr Millis stopRetryInterval{2'000};
 /// Orders in flight to one worker. It has a few connections, and an order that waits for one can't be passed by a more urgent one.
 constexpr int maxOrdersPerWorker = 32;
+/// Paces among them: a worker may refuse all that it gets, and starts must not wait for that.
+constexpr int maxPacesPerWorker = 8;
+/// Stops of runs that the pool does not know, within `resendInterval`.
+constexpr int maxUnknownStopsPerWorker = 64;
 
 StartOrder Pool::makeStart(Run &run, Millis now)
 {
@@ -248,12 +252,19 @@
         }
         int room = freeOrders(*worker);
         addStops(*worker, room, now, orders);
-        addPaces(*worker, room, orders);
-        addStarts(*worker, room, now, orders);
+        int paces = std::min(room, maxPacesPerWorker);
+        room -= paces;
+        addPaces(*worker, paces, orders);
+        addStarts(*worker, room + paces, now, orders);
+    }
+    std::map<std::string, int> unknownStops;
+    for (const auto &it : m_unknownRuns) {
+        unknownStops[it.workerId] += now - it.lastOrderAt < m_times.resendInterval ? 1 : 0;
     }
     for (auto &it : m_unknownRuns) {
         const auto worker = m_workers.find(it.workerId);
-        if (worker != m_workers.end() && now - it.lastOrderAt >= m_times.resendInterval) {
+        if (worker != m_workers.end() && now - it.lastOrderAt >= m_times.resendInterval
+            && unknownStops[it.workerId]++ < maxUnknownStopsPerWorker) {
             it.lastOrderAt = now;
             orders.stops.push_back({{it.workerId, worker->second->entry.address}, it.subtask, it.run, fenceAt(it.workerId)});
         }
--- a/tests/unit/poolorders_test.cpp
+++ b/tests/unit/poolorders_test.cpp
@@ -119,6 +119,42 @@
     CHECK(test.pool.load(test.now).runs == static_cast<int>(sent.size()));
 }
 
+TEST_CASE("paces that the worker refuses and runs that the pool does not know leave room for starts and renewals")
+{
+    WideWorker test;
+    auto filler = makeJob(jobId(1), {makeStep(100, 10, {60'000})});
+    filler.steps[0].usesSpareCpu = true;
+    test.pool.addJob(filler, std::nullopt, test.now, test.now);
+    auto serving = makeJob(jobId(2), {makeStep(1, 10, {60'000})});
+    serving.steps[0].longRunning = true;
+    serving.steps[0].tailLatencyTarget = {100};
+    test.pool.addJob(serving, std::nullopt, test.now, test.now);
+    for (auto starts = test.place(); !starts.empty(); starts = test.pool.dueOrders(test.now).starts) {
+        test.accept(starts);
+        for (const auto &it : starts) {
+            test.list.running.push_back({.subtask = it.subtask, .run = it.run, .progressPercent = 100, .metric = 500});
+        }
+    }
+    REQUIRE(test.list.running.size() == 101);
+    for (int i = 0; i < 300; ++i) {
+        test.list.running.push_back({.subtask = {jobId(3), 0, 0, i}, .run = 1});
+    }
+    test.pool.onHold("w", test.pool.fenceAt("w"), test.list, test.now, test.now, test.now);
+    test.now += Millis{1'500};
+    test.pool.schedule(test.now, test.now, true);
+    std::size_t stops = 0;
+    for (int i = 0; i < 5; ++i) {
+        const auto orders = test.pool.dueOrders(test.now);
+        CHECK_FALSE(orders.paces.empty());
+        CHECK(orders.paces.size() < 32);
+        stops += orders.stops.size();
+        for (const auto &it : orders.paces) {
+            test.pool.onPace(it, {.outcome = OrderOutcome::Unhealthy});
+        }
+    }
+    CHECK(stops < 256);
+}
+
 TEST_CASE("an order that got no connection does not count as an attempt")
 {
     // Otherwise a later refusal would be taken for one of a run that may be on the worker, which then waits for two lists.
