Let no lease expire because the store lost its history

Found by the review, by reading: renewals that a loss of history skips are never read, so the age of a lease starts again, as it did before ages survived a failed poll. There is no test of its own.

--- a/src/shards/leases.cpp
+++ b/src/shards/leases.cpp
@@ -129,6 +129,9 @@
                         m_renewalFeedVersion = position.version;
                     }
                 });
+                for (auto &[name, shard] : m_shards) {
+                    shard.owner.changedAt = now;
+                }
             }
             m_observing = false;
         }
