Review case 6: an accepted job is gone when its queue changes its service

Jobs are looked up by the pool that the current configuration gives for their path. After a version that removes a route and adds one for the same path and another service, an accepted job is answered 410, and a late copy of its submission runs it a second time.

--- /dev/null
+++ b/review/stand-2/world.hpp
@@ -0,0 +1,86 @@
+// A small deployment for the cases: the stand-in of the store, entries, workers and a client, all as processes on loopback.
+#pragma once
+
+#include "process/harness.hpp"
+
+#include <fstream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace review
+{
+
+struct Route {
+    std::string name;
+    std::string prefix;
+    std::string service;
+    int maxAttempts = 3;
+};
+
+struct WorkerLife {
+    std::string id;
+    std::string address;
+    std::unique_ptr<hibiscusbridge::Process> process;
+};
+
+/// A machine on which one worker lives at a time.
+struct Machine {
+    std::string name;
+    std::string rack;
+    std::string service;
+    int lives = 0;
+    WorkerLife life;
+};
+
+struct RunSeen {
+    std::string task;
+    int run = 0;
+    std::string worker;
+    std::int64_t from = 0; ///< Unix milliseconds
+    std::int64_t to = 0; ///< 0 while it runs
+    std::string how;
+};
+
+class World
+{
+public:
+    /// `binaries` is the folder of the stand-ins, `program` the built hibiscusbridge; `folder` takes settings and logs.
+    World(std::string program, std::string binaries, std::string folder, const std::string &record);
+    ~World();
+
+    void startEntries(std::size_t n);
+    bool waitReady(hibiscusbridge::Millis timeout);
+    void configure(std::int64_t version, const std::vector<std::string> &services, const std::vector<Route> &routes);
+    Machine &addMachine(const std::string &name, const std::string &rack, const std::string &service);
+    void startWorker(Machine &machine, const std::string &mode = {});
+    /// SIGKILL; the entry of the worker stays in the store, as after a crash.
+    void killWorker(Machine &machine);
+    hibiscusbridge::Answer call(const std::string &method, const std::string &path, const std::string &body = {}, std::size_t entry = 0);
+    /// The state that an entry gives for the job, or `HTTP n`.
+    std::string stateOf(const std::string &prefix, const std::string &id, std::size_t entry = 0);
+    void note(const std::string &text);
+    /// All runs that the workers have written down so far.
+    std::vector<RunSeen> runs() const;
+    std::vector<std::string> entryAddresses;
+    std::vector<std::unique_ptr<hibiscusbridge::Process>> entries;
+
+private:
+    std::string m_program;
+    std::string m_binaries;
+    std::string m_folder;
+    std::ofstream m_record;
+    std::string m_store;
+    std::unique_ptr<hibiscusbridge::Process> m_storeProcess;
+    std::vector<std::unique_ptr<Machine>> m_machines;
+    std::vector<std::string> m_ready;
+    std::int64_t m_startedAt;
+    std::map<std::string, std::int64_t> m_killedAt;
+};
+
+std::int64_t unixMs();
+void pause(std::int64_t ms);
+bool troubleWanted();
+
+} // namespace review
