--- a/review/stand-2/worker.cpp
+++ b/review/stand-2/worker.cpp
@@ -1,7 +1,8 @@
 // Stand-in of a worker: carries out orders as the protocol page says, and registers in the stand-in of the store.
-// worker-standin ADDRESS ID MACHINE RACK SERVICE STORE LOG CORES [fails]
+// worker-standin ADDRESS REGISTERED ID MACHINE RACK SERVICE STORE LOG CORES [fails]
+// ADDRESS is where it listens, REGISTERED the address that it registers, such as that of a proxy.
 // The payload of a job is the duration of each subtask in milliseconds. Every start and end is appended to LOG as
-// `UNIX_MS start|end SUBTASK RUN WORKER [HOW]`. With `fails`, each subtask ends `failed` after half of its duration.
+// `UNIX_MS start|end|ack SUBTASK RUN WORKER [HOW]`. With `fails`, each subtask ends `failed` after half of its duration.
 #include "adapters/httpclient.hpp"
 #include "adapters/httpserver.hpp"
 
@@ -42,6 +43,7 @@
 }
 
 struct Active {
+    std::string task;
     int run = 0;
     Millis startedAt;
     Millis length;
@@ -67,7 +69,7 @@
     std::int64_t seq = 0;
     std::uint64_t fence = 0;
     Millis deadline; ///< on the worker's clock
-    std::map<std::string, Active> running;
+    std::vector<Active> running;
     std::map<std::string, int> endedRun;
     std::vector<End> ends;
     std::int64_t lastEnd = 0;
@@ -89,7 +91,8 @@
         }
     }
     void heartbeatLoop();
-    void end(const std::string &task, const std::string &how);
+    Active *find(const std::string &task, int run);
+    void end(const std::string &task, int run, const std::string &how);
     void onTick();
     json lists() const;
     HttpResponse answer(int status, json body) const
@@ -123,11 +126,15 @@
     loop.timers().after(heartbeat, [this] { heartbeatLoop(); });
 }
 
-void Worker::end(const std::string &task, const std::string &how)
+Active *Worker::find(const std::string &task, int run)
+{
+    const auto it = std::find_if(running.begin(), running.end(), [&](const Active &active) { return active.task == task && active.run == run; });
+    return it != running.end() ? &*it : nullptr;
+}
+
+void Worker::end(const std::string &task, int run, const std::string &how)
 {
-    const auto it = running.find(task);
-    const int run = it->second.run;
-    running.erase(it);
+    std::erase_if(running, [&](const Active &it) { return it.task == task && it.run == run; });
     endedRun[task] = std::max(endedRun[task], run);
     ends.push_back({++lastEnd, task, run, how});
     note("end " + task + " " + std::to_string(run) + " " + id + " " + how);
@@ -136,11 +143,11 @@
 json Worker::lists() const
 {
     json body{{"running", json::array()}, {"ended_runs", json::array()}, {"born", born}};
-    for (const auto &[task, it] : running) {
+    for (const auto &it : running) {
         const auto age = now() - it.startedAt;
         const bool lasts = it.length >= lastingLength;
         const auto percent = lasts ? (age >= startupTime ? 100 : 0) : std::min<std::int64_t>(age.count * 100 / std::max<std::int64_t>(it.length.count, 1), 99);
-        body["running"].push_back({task, it.run, "", percent, 500});
+        body["running"].push_back({it.task, it.run, "", percent, 500});
     }
     for (const auto &it : ends) {
         body["ended_runs"].push_back({it.number, it.task, it.run, it.how, ""});
@@ -150,18 +157,18 @@
 
 void Worker::onTick()
 {
-    std::vector<std::pair<std::string, std::string>> over;
-    for (const auto &[task, it] : running) {
+    std::vector<std::pair<Active, std::string>> over;
+    for (const auto &it : running) {
         if (now() >= deadline) {
-            over.emplace_back(task, "lapsed");
+            over.emplace_back(it, "lapsed");
         } else if (fails && now() - it.startedAt >= Millis{it.length.count / 2}) {
-            over.emplace_back(task, "failed");
+            over.emplace_back(it, "failed");
         } else if (now() - it.startedAt >= it.length) {
-            over.emplace_back(task, "done");
+            over.emplace_back(it, "done");
         }
     }
-    for (const auto &[task, how] : over) {
-        end(task, how);
+    for (const auto &[it, how] : over) {
+        end(it.task, it.run, how);
     }
     std::erase_if(waiting, [&](const Waiting &it) {
         if (ends.empty() && now() < it.until) {
@@ -177,11 +184,11 @@
 {
     const auto task = body.at("task").get<std::string>();
     const int run = body.at("run");
-    if (const auto it = running.find(task); it != running.end() && it->second.run == run) {
+    if (find(task, run)) {
         extend(body);
         return answer(200, json::object());
     }
-    if (run <= endedRun[task] || running.contains(task)) {
+    if (run <= endedRun[task]) {
         extend(body);
         return refuse("old");
     }
@@ -189,7 +196,7 @@
         return refuse("late");
     }
     extend(body);
-    running[task] = {run, now(), Millis{std::stoll(body.at("spec").get<std::string>())}};
+    running.push_back({task, run, now(), Millis{std::stoll(body.at("spec").get<std::string>())}});
     note("start " + task + " " + std::to_string(run) + " " + id);
     return answer(200, json::object());
 }
@@ -198,8 +205,8 @@
 {
     const auto task = body.at("task").get<std::string>();
     const int run = body.at("run");
-    if (const auto it = running.find(task); it != running.end() && it->second.run == run) {
-        end(task, "stopped");
+    if (find(task, run)) {
+        end(task, run, "stopped");
     }
     endedRun[task] = std::max(endedRun[task], run);
     return answer(200, json::object());
@@ -229,7 +236,12 @@
         return respond({.status = 404});
     }
     const auto cursor = body.value("ack_cursor", std::int64_t{0});
-    std::erase_if(ends, [&](const End &it) { return it.number <= cursor; });
+    std::erase_if(ends, [&](const End &it) {
+        if (it.number <= cursor) {
+            note("ack " + it.task + " " + std::to_string(it.run) + " " + id);
+        }
+        return it.number <= cursor;
+    });
     if (body.contains("deadline_ms")) {
         extend(body);
     }
@@ -244,25 +256,25 @@
 
 int main(int argc, char **argv)
 {
-    if (argc < 9) {
-        std::cerr << "usage: worker-standin ADDRESS ID MACHINE RACK SERVICE STORE LOG CORES [fails]\n";
+    if (argc < 10) {
+        std::cerr << "usage: worker-standin ADDRESS REGISTERED ID MACHINE RACK SERVICE STORE LOG CORES [fails]\n";
         return 2;
     }
     EventLoop loop;
     HttpClient http(loop, {});
     Worker worker{.loop = loop, .http = http};
-    worker.address = argv[1];
-    worker.id = argv[2];
-    worker.machine = argv[3];
-    worker.rack = argv[4];
-    worker.service = argv[5];
-    worker.store = argv[6];
-    worker.log = open(argv[7], O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
-    worker.cores = std::stoi(argv[8]);
-    worker.fails = argc > 9 && std::string(argv[9]) == "fails";
+    worker.address = argv[2];
+    worker.id = argv[3];
+    worker.machine = argv[4];
+    worker.rack = argv[5];
+    worker.service = argv[6];
+    worker.store = argv[7];
+    worker.log = open(argv[8], O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+    worker.cores = std::stoi(argv[9]);
+    worker.fails = argc > 10 && std::string(argv[10]) == "fails";
     worker.bornAt = worker.clock.boot();
     const auto server = HttpServer::listen(
-        loop, {.address = worker.address}, [&](const HttpRequest &request, HttpResponder respond) { worker.serve(request, std::move(respond)); });
+        loop, {.address = argv[1]}, [&](const HttpRequest &request, HttpResponder respond) { worker.serve(request, std::move(respond)); });
     if (!server.ok()) {
         std::cerr << server.status().message() << '\n';
         return 1;
--- a/review/stand-2/world.cpp
+++ b/review/stand-2/world.cpp
@@ -59,16 +59,21 @@
     entries.clear();
 }
 
-void World::startEntries(std::size_t n)
+void World::startEntries(std::size_t n, bool proxies)
 {
     for (std::size_t i = 0; i < n; ++i) {
         const auto callers = freeAddress();
         const auto ready = freeAddress();
         const auto peers = freeAddress();
+        auto store = m_store;
+        if (proxies) {
+            store = freeAddress();
+            storeProxies.push_back(std::make_unique<Proxy>(store, m_store));
+        }
         const auto path = m_folder + "/entry-" + std::to_string(i) + ".toml";
         std::ofstream(path) << "name = \"entry-" << i << "\"\nzone = \"a\"\nregion = \"r\"\ncaller_address = \"" << callers
                             << "\"\nready_address = \"" << ready << "\"\npeer_address = \"" << peers << "\"\nmetrics_port = 0\n"
-                            << "[limits]\ncpu_share = 0.25\ncpu_speed = 1\n[platform]\nstore_address = \"" << m_store
+                            << "[limits]\ncpu_share = 0.25\ncpu_speed = 1\n[platform]\nstore_address = \"" << store
                             << "\"\nvm_address = \"" << m_store << "\"\n[bounds]\nhold_max_ms = 10000\nstop_grace_s = 6\n";
         entries.push_back(std::make_unique<Process>(std::vector<std::string>{m_program, "entry"},
                                                     std::vector<std::string>{"HIBISCUSBRIDGE_CONFIG=" + path}));
@@ -77,6 +82,25 @@
     }
 }
 
+std::pair<std::string, std::uint64_t> World::holderOf(const std::string &shard) const
+{
+    const auto answer = exchange("GET", "http://" + m_store + "/-/rows-get?table=claims&part=" + shard + "&limit=10");
+    const auto rows = answer.status == 200 ? json::parse(answer.body).value("rows", json::array()) : json::array();
+    for (const auto &it : rows) {
+        if (it.value("key", "") != "owner") {
+            continue;
+        }
+        const auto text = it.value("value", "");
+        std::string value(text.size(), '\0');
+        std::size_t n = 0;
+        sodium_base642bin(reinterpret_cast<unsigned char *>(value.data()), value.size(), text.data(), text.size(), nullptr, &n, nullptr,
+                          sodium_base64_VARIANT_ORIGINAL);
+        value.resize(n);
+        return {json::parse(value).value("holder", ""), it.value("row_version", std::uint64_t{0})};
+    }
+    return {};
+}
+
 bool World::waitReady(Millis timeout)
 {
     return waitFor(
@@ -115,10 +139,19 @@
 
 void World::startWorker(Machine &machine, const std::string &mode)
 {
-    machine.life.id = "i-" + machine.name + "-" + std::to_string(++machine.lives);
-    machine.life.address = freeAddress();
-    std::vector<std::string> arguments{m_binaries + "/worker-standin", machine.life.address, machine.life.id, machine.name, machine.rack,
-                                       machine.service, m_store, m_folder + "/runs.log", "8"};
+    ++machine.lives;
+    machine.life.id = machine.fixedId.empty() ? "i-" + machine.name + "-" + std::to_string(machine.lives) : machine.fixedId;
+    machine.life.address = machine.fixedAddress.empty() ? freeAddress() : machine.fixedAddress;
+    std::vector<std::string> arguments{m_binaries + "/worker-standin",
+                                       machine.life.address,
+                                       machine.proxyAddress.empty() ? machine.life.address : machine.proxyAddress,
+                                       machine.life.id,
+                                       machine.name,
+                                       machine.rack,
+                                       machine.service,
+                                       m_store,
+                                       m_folder + "/runs.log",
+                                       "8"};
     if (!mode.empty()) {
         arguments.push_back(mode);
     }
@@ -183,7 +216,7 @@
         }
     }
     for (auto &run : runs) {
-        if (const auto killed = m_killedAt.find(run.worker); run.to == 0 && killed != m_killedAt.end()) {
+        if (const auto killed = m_killedAt.find(run.worker); run.to == 0 && killed != m_killedAt.end() && run.from < killed->second) {
             run.to = killed->second;
             run.how = "gone";
         }
--- a/review/stand-2/world.hpp
+++ b/review/stand-2/world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "process/harness.hpp"
+#include "proxy.hpp"
 
 #include <fstream>
 #include <map>
@@ -21,6 +22,7 @@
 
 struct WorkerLife {
     std::string id;
+    /// Where it listens.
     std::string address;
     std::unique_ptr<hibiscusbridge::Process> process;
 };
@@ -31,6 +33,12 @@
     std::string rack;
     std::string service;
     int lives = 0;
+    /// Id of all lives; each has an id of its own if it is empty.
+    std::string fixedId;
+    /// Address that the workers register, if it isn't that on which they listen.
+    std::string proxyAddress;
+    /// Address on which all lives listen; a free one for each if it is empty.
+    std::string fixedAddress;
     WorkerLife life;
 };
 
@@ -50,7 +58,10 @@
     World(std::string program, std::string binaries, std::string folder, const std::string &record);
     ~World();
 
-    void startEntries(std::size_t n);
+    /// With `proxies`, each entry reaches the store by a proxy of its own.
+    void startEntries(std::size_t n, bool proxies = false);
+    /// Name of the entry that holds the shard according to the store, and the version of its claim.
+    std::pair<std::string, std::uint64_t> holderOf(const std::string &shard) const;
     bool waitReady(hibiscusbridge::Millis timeout);
     void configure(std::int64_t version, const std::vector<std::string> &services, const std::vector<Route> &routes);
     Machine &addMachine(const std::string &name, const std::string &rack, const std::string &service);
@@ -65,6 +76,7 @@
     std::vector<RunSeen> runs() const;
     std::vector<std::string> entryAddresses;
     std::vector<std::unique_ptr<hibiscusbridge::Process>> entries;
+    std::vector<std::unique_ptr<Proxy>> storeProxies;
 
 private:
     std::string m_program;
