--- a/review/6/case-2.cpp
+++ b/review/6/case-2.cpp
@@ -56,8 +56,8 @@
     bool twice = false;
     const auto runs = world.runs();
     for (const auto &it : runs) {
-        world.note("run " + std::to_string(it.run) + " of " + it.task + " on " + it.worker + " from " + std::to_string(it.from - runs.front().from)
-                   + " to " + std::to_string(it.to - runs.front().from) + " ms: " + it.how);
+        world.note("run " + std::to_string(it.run) + " of " + it.task + " on " + it.worker + " from "
+                   + std::to_string(it.from - runs.front().from) + " to " + std::to_string(it.to - runs.front().from) + " ms: " + it.how);
         for (const auto &before : runs) {
             const bool overlaps = before.from < it.from && before.task == it.task && (before.to == 0 || it.from < before.to);
             const bool afterDone = before.task == it.task && before.how == "done" && before.to < it.from;
--- a/review/stand-2/proxy.cpp
+++ b/review/stand-2/proxy.cpp
@@ -3,9 +3,8 @@
 
 #include "adapters/httpserver.hpp"
 
-#include <array>
 #include <arpa/inet.h>
-#include <charconv>
+#include <array>
 #include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -46,16 +45,26 @@
     }).detach();
 }
 
-/// The fencing token in a request; 0 if there is none.
-static std::uint64_t tokenIn(std::string_view text)
+/// Attempts to reach a server that does not listen.
+constexpr int maxAttempts = 2'500;
+constexpr std::chrono::milliseconds attemptPause{2};
+
+void Proxy::deliverLate(std::string request, std::int64_t lateMs, const std::shared_ptr<State> &state)
 {
-    constexpr std::string_view name = "\"fencing_token\":";
-    const auto at = text.find(name);
-    std::uint64_t token = 0;
-    if (at != std::string_view::npos) {
-        std::from_chars(text.data() + at + name.size(), text.data() + text.size(), token);
+    std::this_thread::sleep_for(std::chrono::milliseconds(lateMs));
+    const auto address = toSocketAddress(state->server);
+    for (int i = 0; i < maxAttempts; ++i) {
+        const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (connect(server, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0) {
+            std::array<char, 4096> buf{};
+            send(server, request.data(), request.size(), MSG_NOSIGNAL);
+            recv(server, buf.data(), buf.size(), 0);
+            close(server);
+            return;
+        }
+        close(server);
+        std::this_thread::sleep_for(attemptPause);
     }
-    return token;
 }
 
 void Proxy::forward(int from, int to, const std::shared_ptr<State> &state, bool delayed)
@@ -69,10 +78,14 @@
         if (delayed) {
             std::this_thread::sleep_for(std::chrono::milliseconds(state->delayMs.load()));
         }
-        const auto token = delayed ? 0 : tokenIn({buf.data(), static_cast<std::size_t>(n)});
-        while (state->cut || (state->cutFrom > 0 && token >= state->cutFrom)) {
+        while (state->cut) {
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         }
+        const std::string_view text(buf.data(), static_cast<std::size_t>(n));
+        if (const auto late = state->startsLateMs.load(); !delayed && late > 0 && text.starts_with("POST /-/run-start")) {
+            std::thread([request = std::string(text), late, state] { deliverLate(request, late, state); }).detach();
+            continue;
+        }
         for (ssize_t sent = 0; sent < n;) {
             const auto done = send(to, buf.data() + sent, static_cast<std::size_t>(n - sent), MSG_NOSIGNAL);
             if (done <= 0) {
--- a/review/stand-2/proxy.hpp
+++ b/review/stand-2/proxy.hpp
@@ -14,7 +14,8 @@
 {
 public:
     Proxy(const std::string &listenAddress, const std::string &serverAddress);
-    /// Bytes that the server sends from now on reach the client so much later. Bytes on the way keep their delay, also if the server is gone.
+    /// Bytes that the server sends from now on reach the client so much later. Bytes on the way keep their delay, also if the server is
+    /// gone.
     void delayAnswers(std::int64_t ms)
     {
         m_state->delayMs = ms;
@@ -24,11 +25,10 @@
     {
         m_state->cut = on;
     }
-    /// Holds back the requests whose fencing token is at least this one; 0 for none. The token tells the senders apart, whose addresses are
-    /// the same on loopback.
-    void cutSendersFrom(std::uint64_t token)
+    /// Start orders that come from now on get no answer and reach the server so much later, as soon as it listens; 0 for none.
+    void makeStartsLate(std::int64_t ms)
     {
-        m_state->cutFrom = token;
+        m_state->startsLateMs = ms;
     }
 
 private:
@@ -36,10 +36,11 @@
         std::string server;
         std::atomic<std::int64_t> delayMs{0};
         std::atomic<bool> cut{false};
-        std::atomic<std::uint64_t> cutFrom{0};
+        std::atomic<std::int64_t> startsLateMs{0};
     };
 
     static void forward(int from, int to, const std::shared_ptr<State> &state, bool delayed);
+    static void deliverLate(std::string request, std::int64_t lateMs, const std::shared_ptr<State> &state);
     static void serve(int client, const std::shared_ptr<State> &state);
 
     std::shared_ptr<State> m_state = std::make_shared<State>();
--- a/review/stand-2/worker.cpp
+++ b/review/stand-2/worker.cpp
@@ -116,9 +116,18 @@
 
 void Worker::heartbeatLoop()
 {
-    const json row{{"service", service}, {"address", address}, {"zone", "a"}, {"version", "v1"}, {"slots", 8}, {"state", "ready"},
-                   {"cold_left_ms", 0}, {"seq_no", ++seq}, {"capacity", {{"cpu", cores * 1000}, {"mem_mb", 64'000}, {"gpu", 0}}},
-                   {"labels", {"small", rack}}, {"machine", machine}, {"born", born}};
+    const json row{{"service", service},
+                   {"address", address},
+                   {"zone", "a"},
+                   {"version", "v1"},
+                   {"slots", 8},
+                   {"state", "ready"},
+                   {"cold_left_ms", 0},
+                   {"seq_no", ++seq},
+                   {"capacity", {{"cpu", cores * 1000}, {"mem_mb", 64'000}, {"gpu", 0}}},
+                   {"labels", {"small", rack}},
+                   {"machine", machine},
+                   {"born", born}};
     json request;
     request["puts"].push_back({{"table", "servers"}, {"part", ""}, {"key", id}, {"value", base64(row.dump())}});
     TargetRequest call{.address = store, .method = "POST", .path = "/control", .body = request.dump(), .timeout = {1'000}};
@@ -128,7 +137,8 @@
 
 Active *Worker::find(const std::string &task, int run)
 {
-    const auto it = std::find_if(running.begin(), running.end(), [&](const Active &active) { return active.task == task && active.run == run; });
+    const auto it =
+        std::find_if(running.begin(), running.end(), [&](const Active &active) { return active.task == task && active.run == run; });
     return it != running.end() ? &*it : nullptr;
 }
 
@@ -146,7 +156,8 @@
     for (const auto &it : running) {
         const auto age = now() - it.startedAt;
         const bool lasts = it.length >= lastingLength;
-        const auto percent = lasts ? (age >= startupTime ? 100 : 0) : std::min<std::int64_t>(age.count * 100 / std::max<std::int64_t>(it.length.count, 1), 99);
+        const auto percent = lasts ? (age >= startupTime ? 100 : 0)
+                                   : std::min<std::int64_t>(age.count * 100 / std::max<std::int64_t>(it.length.count, 1), 99);
         body["running"].push_back({it.task, it.run, "", percent, 500});
     }
     for (const auto &it : ends) {
--- a/review/stand-2/world.cpp
+++ b/review/stand-2/world.cpp
@@ -73,8 +73,8 @@
         const auto path = m_folder + "/entry-" + std::to_string(i) + ".toml";
         std::ofstream(path) << "name = \"entry-" << i << "\"\nzone = \"a\"\nregion = \"r\"\ncaller_address = \"" << callers
                             << "\"\nready_address = \"" << ready << "\"\npeer_address = \"" << peers << "\"\nmetrics_port = 0\n"
-                            << "[limits]\ncpu_share = 0.25\ncpu_speed = 1\n[platform]\nstore_address = \"" << store
-                            << "\"\nvm_address = \"" << m_store << "\"\n[bounds]\nhold_max_ms = 10000\nstop_grace_s = 6\n";
+                            << "[limits]\ncpu_share = 0.25\ncpu_speed = 1\n[platform]\nstore_address = \"" << store << "\"\nvm_address = \""
+                            << m_store << "\"\n[bounds]\nhold_max_ms = 10000\nstop_grace_s = 6\n";
         entries.push_back(std::make_unique<Process>(std::vector<std::string>{m_program, "entry"},
                                                     std::vector<std::string>{"HIBISCUSBRIDGE_CONFIG=" + path}));
         entryAddresses.push_back(callers);
@@ -93,7 +93,13 @@
         const auto text = it.value("value", "");
         std::string value(text.size(), '\0');
         std::size_t n = 0;
-        sodium_base642bin(reinterpret_cast<unsigned char *>(value.data()), value.size(), text.data(), text.size(), nullptr, &n, nullptr,
+        sodium_base642bin(reinterpret_cast<unsigned char *>(value.data()),
+                          value.size(),
+                          text.data(),
+                          text.size(),
+                          nullptr,
+                          &n,
+                          nullptr,
                           sodium_base64_VARIANT_ORIGINAL);
         value.resize(n);
         return {json::parse(value).value("holder", ""), it.value("row_version", std::uint64_t{0})};
@@ -116,8 +122,14 @@
 {
     json configuration{{"version", version}, {"routes", json::array()}, {"services", json::array()}};
     for (const auto &it : routes) {
-        configuration["routes"].push_back({{"name", it.name}, {"host", "jobs.example"}, {"path_prefix", it.prefix}, {"service", it.service},
-                                           {"max_attempts", it.maxAttempts}, {"stretch", 2}, {"target_latency_ms", 600}, {"priority", 0}});
+        configuration["routes"].push_back({{"name", it.name},
+                                           {"host", "jobs.example"},
+                                           {"path_prefix", it.prefix},
+                                           {"service", it.service},
+                                           {"max_attempts", it.maxAttempts},
+                                           {"stretch", 2},
+                                           {"target_latency_ms", 600},
+                                           {"priority", 0}});
     }
     for (const auto &it : services) {
         configuration["services"].push_back({{"name", it}, {"enforces_capacity", false}});
@@ -151,7 +163,7 @@
                                        machine.service,
                                        m_store,
                                        m_folder + "/runs.log",
-                                       "8"};
+                                       std::to_string(machine.cores)};
     if (!mode.empty()) {
         arguments.push_back(mode);
     }
@@ -167,13 +179,20 @@
     note("worker " + machine.life.id + " crashes");
 }
 
-Answer World::call(const std::string &method, const std::string &path, const std::string &body, std::size_t entry)
+void World::controlStore(const std::string &faults)
 {
-    const auto answer = exchange(method,
-                                 "http://" + entryAddresses.at(entry) + path,
-                                 body,
-                                 {{"Host", "jobs.example"}, {"Content-Type", "application/json"}, {"Hibiscusbridge-Deadline-Ms", "3000"}},
-                                 Millis{3'000});
+    exchange("POST", "http://" + m_store + "/control", faults);
+    note("store: " + faults);
+}
+
+Answer World::call(const std::string &method, const std::string &path, const std::string &body, std::size_t entry, std::int64_t deadlineMs)
+{
+    const auto answer = exchange(
+        method,
+        "http://" + entryAddresses.at(entry) + path,
+        body,
+        {{"Host", "jobs.example"}, {"Content-Type", "application/json"}, {"Hibiscusbridge-Deadline-Ms", std::to_string(deadlineMs)}},
+        Millis{deadlineMs});
     note(method + " " + path + " at entry " + std::to_string(entry) + " -> " + std::to_string(answer.status) + " " + answer.body);
     return answer;
 }
@@ -208,6 +227,9 @@
             runs.push_back(it);
             continue;
         }
+        if (what != "end") {
+            continue;
+        }
         for (auto &run : runs) {
             if (run.task == it.task && run.run == it.run && run.worker == it.worker) {
                 run.to = at;
--- a/review/stand-2/world.hpp
+++ b/review/stand-2/world.hpp
@@ -32,6 +32,7 @@
     std::string name;
     std::string rack;
     std::string service;
+    int cores = 8;
     int lives = 0;
     /// Id of all lives; each has an id of its own if it is empty.
     std::string fixedId;
@@ -68,7 +69,13 @@
     void startWorker(Machine &machine, const std::string &mode = {});
     /// SIGKILL; the entry of the worker stays in the store, as after a crash.
     void killWorker(Machine &machine);
-    hibiscusbridge::Answer call(const std::string &method, const std::string &path, const std::string &body = {}, std::size_t entry = 0);
+    hibiscusbridge::Answer call(const std::string &method,
+                                const std::string &path,
+                                const std::string &body = {},
+                                std::size_t entry = 0,
+                                std::int64_t deadlineMs = 3'000);
+    /// Faults of the store's stand-in, see tests/standins/store.cpp.
+    void controlStore(const std::string &faults);
     /// The state that an entry gives for the job, or `HTTP n`.
     std::string stateOf(const std::string &prefix, const std::string &id, std::size_t entry = 0);
     void note(const std::string &text);
