Keep what holds for one incarnation of a worker in a type of its own

A worker that restarts keeps its id and nothing else. Its clock, lease, list of ends and cursors were members of Worker that onRestarted reset one by one. They are now one struct that a restart replaces as a whole. No change of behaviour: the lease and the clock are carried over as before.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -38,10 +38,10 @@
 void Pool::dropExpiredRuns(Millis now)
 {
     for (auto &[id, worker] : m_workers) {
-        if (worker->runs.empty() || isReachable(*worker) || now <= worker->leaseExpiry) {
+        if (worker->runs.empty() || isReachable(*worker) || now <= worker->incarnation.leaseExpiry) {
             continue;
         }
-        onWorkerLost(*worker, worker->runs, worker->answeredAt, false, now);
+        onWorkerLost(*worker, worker->runs, worker->incarnation.answeredAt, false, now);
         for (Run *const it : std::vector<Run *>(worker->runs)) {
             if (it->phase != RunPhase::Placed && it->phase != RunPhase::Committing) {
                 dropRun(*it, now, "lease-over");
@@ -101,7 +101,7 @@
         it.rack = worker.entry.labels[1];
     }
     it.usable = isUsable(worker, now) && worker.cordonedUntil <= now;
-    it.failurePenalty = worker.failuresInARow >= failurePenaltyThreshold ? 1 : 0;
+    it.failurePenalty = worker.incarnation.failuresInARow >= failurePenaltyThreshold ? 1 : 0;
     for (const Run *const run : worker.runs) {
         const auto &step = stepOf(*run);
         it.serving += step.longRunning ? 1 : 0;
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -13,8 +13,6 @@
 /// Consecutive lists without a confirmed run before it counts as lost. One such list may have been built before the start
 /// arrived at the worker.
 constexpr int missingListsBeforeLost = 2;
-/// A worker's steady clock may run slow by up to this share.
-constexpr std::int64_t clockErrorPercent = 2;
 /// Fencing tokens per ownership claim. The claim's version times this is the owner's first token, so a later claim's tokens are
 /// all higher.
 constexpr std::uint64_t epochsPerFence = 1024;
@@ -22,8 +20,6 @@
 /// not distort the estimates.
 constexpr double durationRatioWeight = 0.03;
 constexpr double maxDurationRatio = 4.0;
-/// Added to the lease expiry to cover clock rounding.
-constexpr Millis leaseMargin{50};
 
 Pool::Pool(std::string name, std::uint64_t fence, PoolTimes times)
     : m_name(std::move(name))
@@ -105,7 +101,7 @@
                         if (!worker) {
                             worker = std::make_unique<Worker>();
                             worker->entry.id = it.workerId;
-                            worker->leaseExpiry = now + m_times.previousOwnerLease;
+                            worker->incarnation.leaseExpiry = now + m_times.previousOwnerLease;
                         }
                         auto &run = addRun(job, k, static_cast<int>(s), static_cast<int>(i), it.number, *worker);
                         run.phase = RunPhase::Inherited;
@@ -137,7 +133,7 @@
     run.step = step;
     run.index = index;
     run.number = number;
-    run.incarnationStart = worker.incarnationStart != 0 ? worker.incarnationStart : worker.entry.incarnationStart;
+    run.incarnationStart = worker.incarnation.startedAt != 0 ? worker.incarnation.startedAt : worker.entry.incarnationStart;
     run.reserved = reserved(stepOf(run));
     subtaskOf(run).runs.push_back(std::move(owned));
     worker.runs.push_back(&run);
@@ -245,10 +241,10 @@
         auto &worker = m_workers[entry.id];
         if (!worker) {
             worker = std::make_unique<Worker>();
-            worker->leaseExpiry = now + m_times.previousOwnerLease;
+            worker->incarnation.leaseExpiry = now + m_times.previousOwnerLease;
         }
-        if (worker->synced && entry.incarnationStart != 0 && worker->incarnationStart != 0
-            && entry.incarnationStart != worker->incarnationStart) {
+        if (worker->synced && entry.incarnationStart != 0 && worker->incarnation.startedAt != 0
+            && entry.incarnationStart != worker->incarnation.startedAt) {
             worker->synced = false;
         }
         if (entry.draining && !worker->entry.draining) {
@@ -271,7 +267,7 @@
             continue;
         }
         auto &worker = *found->second;
-        onWorkerLost(worker, worker.runs, worker.answeredAt, true, now);
+        onWorkerLost(worker, worker.runs, worker.incarnation.answeredAt, true, now);
         worker.registered = false;
         worker.synced = false;
         for (Run *const it : std::vector<Run *>(worker.runs)) {
@@ -291,16 +287,16 @@
 void Pool::onHoldSent(const std::string &workerId, Millis now)
 {
     if (const auto it = m_workers.find(workerId); it != m_workers.end()) {
-        auto &worker = *it->second;
-        worker.leaseExpiry = std::max(worker.leaseExpiry, now + leaseLength(now) * 100 / (100 - clockErrorPercent) + leaseMargin);
+        auto &incarnation = it->second->incarnation;
+        incarnation.leaseExpiry = std::max(incarnation.leaseExpiry, now + longestLease(leaseLength(now)));
     }
 }
 
 void Pool::onAcknowledged(const std::string &workerId, std::int64_t incarnationStart, std::int64_t cursor)
 {
     if (const auto it = m_workers.find(workerId);
-        it != m_workers.end() && (incarnationStart == 0 || incarnationStart == it->second->incarnationStart)) {
-        it->second->unackedEnds.onAcknowledged(cursor);
+        it != m_workers.end() && (incarnationStart == 0 || incarnationStart == it->second->incarnation.startedAt)) {
+        it->second->incarnation.unackedEnds.onAcknowledged(cursor);
     }
 }
 
@@ -308,14 +304,14 @@
 {
     std::optional<OldestUnackedEnd> oldest;
     for (const auto &[id, worker] : m_workers) {
-        const auto &ends = worker->unackedEnds;
+        const auto &ends = worker->incarnation.unackedEnds;
         if (ends.empty() || (oldest && now - ends.oldestListedAt() <= oldest->age)) {
             continue;
         }
         oldest = {.workerId = id, .end = ends.oldestEnd(), .age = now - ends.oldestListedAt(), .delay = AckDelay::RenewalNotSent};
         if (!isReachable(*worker)) {
             oldest->delay = AckDelay::WorkerUnreachable;
-        } else if (ends.oldestEnd() > worker->ackCursor) {
+        } else if (ends.oldestEnd() > worker->incarnation.ackCursor) {
             oldest->delay = AckDelay::RecordNotCommitted;
         }
     }
@@ -324,11 +320,11 @@
 
 Millis Pool::deadlineFor(const Worker &worker, Millis now) const
 {
-    if (!worker.synced || worker.answeredAt.count == 0) {
+    if (!worker.synced || worker.incarnation.answeredAt.count == 0) {
         return {};
     }
     // Lower bound of the worker's clock, so that its lease never ends later than `leaseExpiry`.
-    return worker.clockAtAnswer + (now - worker.answeredAt) * (100 - clockErrorPercent) / 100 + leaseLength(now);
+    return earliestClock(worker.incarnation, now) + leaseLength(now);
 }
 
 std::uint64_t Pool::fenceAt(const std::string &workerId) const
@@ -346,8 +342,8 @@
 {
     worker.misses = 0;
     if (clock.count > 0) {
-        worker.clockAtAnswer = clock;
-        worker.answeredAt = now;
+        worker.incarnation.clockAtAnswer = clock;
+        worker.incarnation.answeredAt = now;
     }
 }
 
@@ -363,14 +359,16 @@
              "worker_reborn",
              {{"pool", m_name},
               {"worker", worker.entry.id},
-              {"old_born", worker.incarnationStart},
+              {"old_born", worker.incarnation.startedAt},
               {"new_born", result.incarnationStart},
               {"runs", worker.runs.size()}});
-    worker.incarnationStart = result.incarnationStart;
+    const auto &former = worker.incarnation;
+    worker.incarnation = {.startedAt = result.incarnationStart,
+                          .clockAtAnswer = former.clockAtAnswer,
+                          .answeredAt = former.answeredAt,
+                          .listedAt = former.listedAt,
+                          .leaseExpiry = former.leaseExpiry};
     ++worker.epoch;
-    worker.lastProcessedEnd = worker.ackCursor = worker.ackInFlight = 0;
-    worker.unackedEnds.clear();
-    worker.failuresInARow = 0;
     for (Run *const it : std::vector<Run *>(worker.runs)) {
         if (it->incarnationStart == result.incarnationStart) {
             continue;
@@ -408,28 +406,28 @@
                       {"outcome", nameOf(result.outcome)},
                       {"error", result.error},
                       {"runs", worker.runs.size()},
-                      {"lease_left_ms", (worker.leaseExpiry - now).count}});
+                      {"lease_left_ms", (worker.incarnation.leaseExpiry - now).count}});
         }
         return;
     }
     if (worker.misses > 0) {
         logEvent(LogLevel::Info, "worker_reachable", {{"pool", m_name}, {"worker", workerId}, {"misses", worker.misses}});
     }
-    const auto lastResponse = worker.answeredAt;
+    const auto lastResponse = worker.incarnation.answeredAt;
     recordResponse(worker, result.workerClock, now);
-    worker.listedAt = now;
+    worker.incarnation.listedAt = now;
     const auto incarnationStart = result.incarnationStart != 0 ? result.incarnationStart : worker.entry.incarnationStart;
-    if (worker.incarnationStart != 0 && incarnationStart != worker.incarnationStart) {
+    if (worker.incarnation.startedAt != 0 && incarnationStart != worker.incarnation.startedAt) {
         onRestarted(worker, result, lastResponse, now);
     }
-    worker.incarnationStart = incarnationStart;
+    worker.incarnation.startedAt = incarnationStart;
     settleCrashes(workerId, incarnationStart);
     for (const auto &it : result.ended) {
-        if (it.number > worker.lastProcessedEnd) {
+        if (it.number > worker.incarnation.lastProcessedEnd) {
             onEnd(worker, it, now, wall);
-            worker.lastProcessedEnd = it.number;
+            worker.incarnation.lastProcessedEnd = it.number;
             m_unackedWorkers.insert(workerId);
-            worker.unackedEnds.onListed(it.number, now, m_changed.latest());
+            worker.incarnation.unackedEnds.onListed(it.number, now, m_changed.latest());
         }
     }
     std::set<const Run *> listed;
@@ -567,7 +565,7 @@
     if (!end.checkpoint.empty() && step.checkpointing) {
         subtask.checkpoint = end.checkpoint;
     }
-    worker.failuresInARow = end.end == RunEnd::Failed ? worker.failuresInARow + 1 : 0;
+    worker.incarnation.failuresInARow = end.end == RunEnd::Failed ? worker.incarnation.failuresInARow + 1 : 0;
     if (subtask.done || isFinal(job.phase)) {
         return;
     }
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -10,9 +10,9 @@
 #include "ports/workers.hpp"
 #include "scheduling/changedjobs.hpp"
 #include "scheduling/crashes.hpp"
+#include "scheduling/incarnation.hpp"
 #include "scheduling/order.hpp"
 #include "scheduling/placement.hpp"
-#include "scheduling/unackedends.hpp"
 #include "shards/publishedload.hpp"
 #include "upkeep/poolreport.hpp"
 
@@ -151,24 +151,14 @@
     bool registered = false;
     /// The current incarnation has accepted a renewal with this owner's fencing token.
     bool synced = false;
-    Millis clockAtAnswer; ///< worker's steady clock
-    Millis answeredAt; ///< local boot clock
-    Millis listedAt; ///< local boot clock: last list, which also carries the incarnation
-    Millis leaseExpiry; ///< local boot clock: all runs have ended by then unless the lease is extended
+    Incarnation incarnation; ///< the one that responded last
     Millis backoffUntil;
-    std::int64_t lastProcessedEnd = 0; ///< highest end number processed in this incarnation
-    std::int64_t ackCursor = 0; ///< ends up to this number are committed
-    std::int64_t ackInFlight = 0;
-    UnackedEnds unackedEnds;
-    std::int64_t incarnationStart = 0; ///< incarnation that responded last, Unix milliseconds
     /// Consecutive renewals and starts without a response.
     int misses = 0;
     /// Local boot clock: the first of the latest consecutive misses.
     Millis unreachableSince;
     /// Part of the fencing token for this worker. Incremented to fence off this owner's earlier orders without a response.
     std::uint64_t epoch = 0;
-    /// Consecutive failed runs.
-    int failuresInARow = 0;
     /// Cordoned by the fleet owner until this time; each request extends it.
     Millis cordonedUntil;
     /// Until then a restart is taken for one that the fleet owner ordered.
--- a/src/scheduling/poolcrashes.cpp
+++ b/src/scheduling/poolcrashes.cpp
@@ -65,7 +65,7 @@
     }
     const auto loss = lossOf(worker, lastResponse);
     std::erase_if(m_recentLosses, [&](const auto &it) { return now - it.second.at > lossMemory; });
-    m_recentLosses.emplace(std::pair(worker.entry.id, worker.incarnationStart), loss);
+    m_recentLosses.emplace(std::pair(worker.entry.id, worker.incarnation.startedAt), loss);
     std::vector<WorkerLoss> others;
     for (const auto &[incarnation, it] : m_recentLosses) {
         if (incarnation.first != worker.entry.id) {
@@ -74,9 +74,9 @@
     }
     for (const auto &[id, it] : m_workers) {
         const bool mayBePlanned = it->entry.draining || (it->runs.empty() && now < it->plannedRestartUntil);
-        const bool recorded = m_recentLosses.contains({id, it->incarnationStart});
+        const bool recorded = m_recentLosses.contains({id, it->incarnation.startedAt});
         if (it.get() != &worker && it->misses > 0 && !mayBePlanned && !recorded) {
-            others.push_back(lossOf(*it, it->answeredAt));
+            others.push_back(lossOf(*it, it->incarnation.answeredAt));
         }
     }
     if (sent.empty()) {
@@ -99,7 +99,7 @@
               {"worker", worker.entry.id},
               {"vm", worker.entry.vm},
               {"rack", loss.rack},
-              {"incarnation", worker.incarnationStart},
+              {"incarnation", worker.incarnation.startedAt},
               {"runs", sent.size()},
               {"suspects", std::count_if(suspicions.begin(), suspicions.end(), [](const auto &it) { return it.has_value(); })},
               {"rack_loss", rackLoss}});
--- a/src/scheduling/poolorders.cpp
+++ b/src/scheduling/poolorders.cpp
@@ -74,7 +74,7 @@
     if (!worker.synced || worker.misses > 0) {
         return "worker-unheard";
     }
-    if (run.incarnationStart != worker.incarnationStart) {
+    if (run.incarnationStart != worker.incarnation.startedAt) {
         return "worker-reborn";
     }
     return worker.entry.draining ? "worker-draining" : nullptr;
--- a/src/scheduling/poolrecords.cpp
+++ b/src/scheduling/poolrecords.cpp
@@ -130,9 +130,9 @@
         if (it == m_workers.end()) {
             return true;
         }
-        auto &worker = *it->second;
-        worker.ackInFlight = std::max(worker.ackInFlight, worker.unackedEnds.acknowledgeable(m_changed.takenUpTo()));
-        return worker.ackInFlight >= worker.lastProcessedEnd;
+        auto &incarnation = it->second->incarnation;
+        incarnation.ackInFlight = std::max(incarnation.ackInFlight, incarnation.unackedEnds.acknowledgeable(m_changed.takenUpTo()));
+        return incarnation.ackInFlight >= incarnation.lastProcessedEnd;
     });
     return rows;
 }
@@ -163,7 +163,8 @@
     }
     m_changed.onCommitted();
     for (auto &[id, worker] : m_workers) {
-        worker->ackCursor = std::max(worker->ackCursor, worker->ackInFlight);
+        auto &incarnation = worker->incarnation;
+        incarnation.ackCursor = std::max(incarnation.ackCursor, incarnation.ackInFlight);
     }
     PoolOrders orders;
     for (auto &[id, worker] : m_workers) {
@@ -184,8 +185,8 @@
     }
     m_changed.onCommitFailed();
     for (auto &[id, worker] : m_workers) {
-        if (worker->ackInFlight > worker->ackCursor) {
-            worker->ackInFlight = worker->ackCursor;
+        if (auto &incarnation = worker->incarnation; incarnation.ackInFlight > incarnation.ackCursor) {
+            incarnation.ackInFlight = incarnation.ackCursor;
             m_unackedWorkers.insert(id);
         }
     }
--- a/src/shards/poolowner.cpp
+++ b/src/shards/poolowner.cpp
@@ -257,7 +257,7 @@
         if (renewalState.inFlight || worker->entry.address.empty() || now < renewalState.nextSendAt) {
             continue;
         }
-        if (worker->lastProcessedEnd > worker->ackCursor && now < renewalState.ackDeadline) {
+        if (worker->incarnation.lastProcessedEnd > worker->incarnation.ackCursor && now < renewalState.ackDeadline) {
             continue;
         }
         due.emplace_back(worker.get(), &renewalState);
@@ -287,7 +287,7 @@
     RenewOrder order{.worker = {id, worker.entry.address}, .fence = m_pool->fenceAt(id)};
     // End numbers restart with each incarnation: a cursor of the previous incarnation would acknowledge ends of the new one
     // that have not been received.
-    order.ackCursor = reachable && now - worker.listedAt <= incarnationValidity ? worker.ackCursor : 0;
+    order.ackCursor = reachable && now - worker.incarnation.listedAt <= incarnationValidity ? worker.incarnation.ackCursor : 0;
     auto timeout = probeTimeout;
     if (!reachable && worker.synced && !worker.runs.empty()) {
         sendSlowProbe(id);
@@ -344,13 +344,13 @@
 bool PoolOwner::isOutdatedMiss(const std::string &id, const RenewResult &result, Millis sentAt) const
 {
     const auto worker = m_pool->workers().find(id);
-    return result.outcome == OrderOutcome::Unknown && worker != m_pool->workers().end() && worker->second->answeredAt > sentAt;
+    return result.outcome == OrderOutcome::Unknown && worker != m_pool->workers().end() && worker->second->incarnation.answeredAt > sentAt;
 }
 
 /// True if an end is committed and has not been acknowledged.
 static bool hasCommittedEnds(const Worker &worker)
 {
-    return !worker.unackedEnds.empty() && worker.unackedEnds.oldestEnd() <= worker.ackCursor;
+    return !worker.incarnation.unackedEnds.empty() && worker.incarnation.unackedEnds.oldestEnd() <= worker.incarnation.ackCursor;
 }
 
 void PoolOwner::onRenewal(const RenewOrder &order, Millis sentAt, const RenewResult &result)
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -408,7 +408,7 @@
         now += Millis{3'000};
         if (other != crashed) {
             RenewResult list{.outcome = OrderOutcome::Accepted, .workerClock = {now.count}};
-            list.incarnationStart = pool.workers().at(other)->incarnationStart;
+            list.incarnationStart = pool.workers().at(other)->incarnation.startedAt;
             list.ended = {{.number = 1, .subtask = starts[0].subtask, .run = starts[0].run, .end = RunEnd::GangMemberEnded}};
             pool.onHold(other, pool.fenceAt(other), list, now, now, now);
         }
--- a/tests/unit/lateowner_test.cpp
+++ b/tests/unit/lateowner_test.cpp
@@ -96,7 +96,7 @@
     CHECK(rounds <= 2);
     list.ended = {{.number = 1, .subtask = {firstJob, 0, 0, 0}, .run = 1, .end = RunEnd::Done}};
     pool.onHold("w", pool.fenceAt("w"), list, now, now, now);
-    for (rounds = 0; pool.workers().at("w")->ackCursor < 1 && rounds < 20; ++rounds) {
+    for (rounds = 0; pool.workers().at("w")->incarnation.ackCursor < 1 && rounds < 20; ++rounds) {
         addJobs();
         pool.takeRecords(10);
         pool.onRecordsCommitted(now);
--- a/tests/unit/pool_test.cpp
+++ b/tests/unit/pool_test.cpp
@@ -50,10 +50,10 @@
     pool.onStart(starts[0], {.outcome = OrderOutcome::Accepted, .workerClock = {1'001}}, now);
     list.ended = {{.number = 1, .subtask = {spec.id, 0, 0, 0}, .run = 1, .end = RunEnd::Done}};
     pool.onHold("w", pool.fenceAt("w"), list, now, now, now);
-    CHECK(pool.workers().at("w")->ackCursor == 0);
+    CHECK(pool.workers().at("w")->incarnation.ackCursor == 0);
     pool.takeRecords(10);
     pool.onRecordsCommitted(now);
-    CHECK(pool.workers().at("w")->ackCursor == 1);
+    CHECK(pool.workers().at("w")->incarnation.ackCursor == 1);
 }
 
 TEST_CASE("a start without a response is dropped once a list under a higher token lacks it")
