Start a subtask nowhere else while an unanswered start may reach a restarted worker

The start on one worker got no answer, so the subtask was started on another one; the first start was carried out when its worker had just restarted under its id.

Cause: the raised fencing token that shuts out an unanswered start is known to the worker's present incarnation only. A restarted worker knows no token, and the deadline of the start lies on its former clock. A run that it listed and the owner did not know was stopped while its subtask was already started elsewhere.

Change: a subtask whose start got no answer is started again on the same worker, under a new number, and elsewhere only 6 s after that start, or once the worker was replaced or has crashed under it. A member of a gang is started again under its number. A new owner treats recorded runs that a worker does not list in the same way. The token is raised at the first call without an answer while a start is open, not after the first answer of the new incarnation. A subtask is not placed while a worker lists an unknown run of it.

Conclusion: closed where the owner still decides where the subtask runs; a subtask that has ended can't be protected by the owner.

--- a/src/node/shardhost.cpp
+++ b/src/node/shardhost.cpp
@@ -267,6 +267,7 @@
 std::unique_ptr<PoolOwner> ShardHost::makePoolOwner(const std::string &shard, std::uint64_t fence, bool handedOver)
 {
     PoolTimes times;
+    times.maxLease = m_settings.holdMax;
     const auto &lease = m_leases->times();
     // The grants of an expired owner end at most `renewDeadline` after its last renewal, of which `leaseDuration` has already
     // passed.
--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t maxAdvisedWorkers = 100;
 /// A suspect keeps its worker from other starts for a while, so at most one of this many workers runs one at a time.
 constexpr std::size_t workersPerProbation = 2;
+/// A subtask whose starts on one worker got no response this often in a row is not started there again while it may be late.
+constexpr int maxUnansweredStarts = 4;
 /// Window for measuring the arrival rate of work; short compared with a load surge of a few seconds.
 constexpr Millis arrivalWindow{800};
 
@@ -378,6 +380,38 @@
     return choice;
 }
 
+bool Pool::mayRunUnknown(const SubtaskId &subtask, Millis now) const
+{
+    return std::any_of(m_unknownRuns.begin(), m_unknownRuns.end(), [&](const UnknownRun &it) {
+        return it.subtask == subtask && now <= it.listedAt + longestLease(m_times.maxLease);
+    });
+}
+
+bool Pool::isBoundToWorker(const Subtask &subtask, Millis now) const
+{
+    if (!subtask.lateStart || subtask.lateStart->until <= now) {
+        return false;
+    }
+    // A worker that has crashed under the subtask since then refuses the late start, and the subtask has to run elsewhere.
+    const auto worker = m_workers.find(subtask.lateStart->workerId);
+    return !hasCrashed(subtask.crashes, subtask.lateStart->workerId, worker != m_workers.end() ? worker->second->entry.vm : std::string());
+}
+
+/// The worker of the subtask's late start, if the subtask may be started there again.
+std::optional<std::size_t> Pool::chooseBound(const LateStart &late,
+                                             const StepSpec &step,
+                                             std::span<const Candidate> candidates,
+                                             const Round &round)
+{
+    const auto it =
+        std::find_if(round.workers.begin(), round.workers.end(), [&](const Worker *worker) { return worker->entry.id == late.workerId; });
+    const auto i = static_cast<std::size_t>(it - round.workers.begin());
+    if (it == round.workers.end() || late.count >= maxUnansweredStarts || !canTake(step, candidates[i])) {
+        return std::nullopt;
+    }
+    return i;
+}
+
 void Pool::placeStep(const Ready &ready, Round &round, Millis now)
 {
     auto &job = *ready.job;
@@ -432,8 +466,10 @@
             return;
         }
         int number = 0;
-        for (const auto &it : subtasks) {
-            if (!it.runs.empty() || it.retryAt > now) {
+        for (std::size_t i = 0; i < subtasks.size(); ++i) {
+            const auto &it = subtasks[i];
+            if (!it.runs.empty() || it.retryAt > now || isBoundToWorker(it, now)
+                || mayRunUnknown({job.spec.id, ready.occurrence, ready.step, static_cast<int>(i)}, now)) {
                 return;
             }
             number = std::max(number, it.lastRun);
@@ -467,7 +503,22 @@
         if (!mayAdd(1)) {
             return;
         }
+        if (mayRunUnknown({job.spec.id, ready.occurrence, ready.step, i}, now)) {
+            continue;
+        }
         const bool suspect = !subtask.crashes.empty();
+        if (isBoundToWorker(subtask, now)) {
+            const auto bound = suspect && round.probations >= round.maxProbations
+                                   ? std::nullopt
+                                   : chooseBound(*subtask.lateStart, step, candidates, round);
+            if (bound && suspect) {
+                round.startProbation(*bound);
+            }
+            if (bound) {
+                place(i, *bound, subtask.lastRun + 1);
+            }
+            continue;
+        }
         auto choice = suspect ? chooseForSuspect(subtask, step, candidates, round, now) : chooseWorker(step, candidates, siblingRack);
         if (!choice && step.longRunning && !advised) {
             choice = chooseOrReserve(ready, round, now);
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -161,6 +161,12 @@
     if (subtask.unavailableSince.count == 0) {
         subtask.unavailableSince = now;
     }
+    if (run.unansweredStartAt.count > 0) {
+        const bool again = subtask.lateStart && subtask.lateStart->workerId == worker.entry.id;
+        subtask.lateStart = {.workerId = worker.entry.id,
+                             .until = run.unansweredStartAt + m_times.lateStartTime,
+                             .count = again ? subtask.lateStart->count + 1 : 1};
+    }
     worker.used = worker.used - run.reserved;
     std::erase(worker.runs, &run);
     --job.runCount;
@@ -260,6 +266,7 @@
 
 void Pool::endWorkers(const std::set<std::string> &ids, Millis now)
 {
+    std::erase_if(m_unknownRuns, [&](const UnknownRun &it) { return ids.contains(it.workerId); });
     for (const auto &id : ids) {
         settleCrashes(id, std::nullopt);
         const auto found = m_workers.find(id);
@@ -272,6 +279,7 @@
         worker.synced = false;
         for (Run *const it : std::vector<Run *>(worker.runs)) {
             if (it->phase != RunPhase::Committing) {
+                it->unansweredStartAt = {}; // The VM's next worker has another id.
                 dropRun(*it, now, "worker-replaced");
             }
         }
@@ -373,6 +381,7 @@
         if (it->incarnationStart == result.incarnationStart) {
             continue;
         }
+        it->unansweredStartAt = {}; // The answered call has shut out the starts that were without a response.
         const bool listed = std::any_of(result.running.begin(), result.running.end(), [&](const RunReport &run) {
             return run.run == it->number && run.subtask == idOf(*it);
         });
@@ -399,6 +408,10 @@
     if (result.outcome != OrderOutcome::Accepted) {
         if (worker.misses++ == 0) {
             worker.unreachableSince = now;
+            // If the worker has restarted, the first call that it answers shuts out the starts that were meant for its former incarnation.
+            const bool hasOpenStart = std::any_of(
+                worker.runs.begin(), worker.runs.end(), [](const Run *it) { return it->phase == RunPhase::Starting && !it->unsent; });
+            worker.epoch += hasOpenStart ? 1 : 0;
             logEvent(LogLevel::Warn,
                      "worker_unheard",
                      {{"pool", m_name},
@@ -434,12 +447,14 @@
     for (const auto &it : result.running) {
         Run *const run = findRun(worker, it.subtask, it.run);
         if (!run) {
-            const bool known = std::any_of(m_unknownRuns.begin(), m_unknownRuns.end(), [&](const UnknownRun &unknown) {
+            const auto known = std::find_if(m_unknownRuns.begin(), m_unknownRuns.end(), [&](const UnknownRun &unknown) {
                 return unknown.workerId == workerId && unknown.run == it.run && unknown.subtask == it.subtask;
             });
-            if (!known) {
+            if (known == m_unknownRuns.end()) {
                 logEvent(LogLevel::Warn, "unknown_run", {{"worker", workerId}, {"subtask", toString(it.subtask)}, {"run", it.run}});
-                m_unknownRuns.push_back({workerId, it.subtask, it.run, {}});
+                m_unknownRuns.push_back({.workerId = workerId, .subtask = it.subtask, .run = it.run, .listedAt = now});
+            } else {
+                known->listedAt = now;
             }
             worker.backoffUntil = now + m_times.refusalBackoff;
             continue;
@@ -451,6 +466,9 @@
             run->confirmedAt = now;
         }
         run->missedLists = 0;
+        if (!stepOf(*run).gang) {
+            run->unansweredStartAt = {}; // A member of a gang may have been started again under the same number.
+        }
         run->progressPercent = it.progressPercent;
         run->metric = it.metric;
         auto &subtask = subtaskOf(*run);
@@ -484,9 +502,12 @@
         if (listed.contains(it) || result.moreEnded) {
             continue; // Once the listed ends are acknowledged, the worker lists the others.
         }
-        if (it->phase == RunPhase::Inherited) {
-            // The worker has accepted this owner's fencing token, so it rejects the previous owner's starts from now on.
+        if (it->phase == RunPhase::Inherited && (it->stopRequested || it->incarnationStart != incarnationStart)) {
             dropRun(*it, now, "not-listed");
+        } else if (it->phase == RunPhase::Inherited) {
+            // The worker has accepted this owner's fencing token, so it rejects the previous owner's starts from now on.
+            it->unansweredStartAt = now;
+            neverStarted.push_back(it);
         } else if (it->phase == RunPhase::Starting && !it->unsent && !it->orderInFlight && it->startFence < renewalFence) {
             // The worker has seen a higher fencing token than the start's, so the start can no longer be executed.
             neverStarted.push_back(it);
@@ -495,8 +516,7 @@
         }
     }
     for (Run *const it : neverStarted) {
-        subtaskOf(*it).retryAt = now;
-        withdraw(*it, now, "never-started");
+        onNeverStarted(*it, now);
     }
     std::erase_if(m_unknownRuns, [&](const UnknownRun &unknown) {
         return unknown.workerId == workerId && !result.moreEnded
@@ -618,6 +638,10 @@
     run->orderInFlight = false;
     run->unsent = result.outcome == OrderOutcome::NotSent;
     run->attempts -= run->unsent ? 1 : 0;
+    if (result.outcome == OrderOutcome::Unknown) {
+        run->unansweredStartAt = run->lastOrderAt;
+        ++worker.incarnation.failuresInARow;
+    }
     if (result.outcome == OrderOutcome::Accepted) {
         run->job->begun = true;
         if (run->phase == RunPhase::Starting) {
@@ -640,6 +664,12 @@
     if (!isRefusal(result.outcome)) {
         return;
     }
+    if (result.outcome == OrderOutcome::Fenced && order.fence < fenceAt(order.worker.id) && run->attempts <= 1) {
+        // A later token of this owner has overtaken the start.
+        run->unsent = true;
+        run->attempts = 0;
+        return;
+    }
     worker.backoffUntil = now + m_times.refusalBackoff;
     if (result.outcome == OrderOutcome::BadTicket) {
         run->job->advice.erase(run->occurrence * static_cast<int>(run->job->spec.steps.size()) + run->step);
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -38,6 +38,10 @@
     Millis previousOwnerLease{7'500};
     /// Stops and unsent starts are sent again after this interval.
     Millis resendInterval{400};
+    /// A start without a response is carried out within this time, or not at all.
+    Millis lateStartTime{6'000};
+    /// Upper bound of a lease, by the clock of the worker, which shortens longer ones.
+    Millis maxLease{10'000};
     /// A worker that refused a start or lists an unknown run gets no new work for this long.
     Millis refusalBackoff{1'000};
     /// A long-running subtask counts as available after it was listed at 100 % for this long. Listed progress is rounded, so
@@ -80,6 +84,8 @@
     Millis lastStopAt;
     /// Start orders sent, with or without a response.
     int attempts = 0;
+    /// When the last start order without a response was sent, as long as it may be carried out late.
+    Millis unansweredStartAt;
     /// Fencing token of the last start order.
     std::uint64_t startFence = 0;
     /// No start order is in flight that the worker could still execute.
@@ -96,6 +102,15 @@
 /// True if no start of the run was sent, so that it can't be on its worker.
 bool isUnsent(const Run &run);
 
+/// A start without a response. The incarnation of the worker that it was meant for refuses it for its fencing token, but a later one, which
+/// has not seen a higher token, may carry it out.
+struct LateStart {
+    std::string workerId;
+    Millis until;
+    /// Starts in a row on this worker that got no response.
+    int count = 0;
+};
+
 struct Subtask {
     bool done = false;
     std::vector<int> failedRuns;
@@ -110,6 +125,8 @@
     Millis availableSince;
     /// Earliest time of the next start.
     Millis retryAt;
+    /// Until its time is over, the subtask is started on no other worker: it must not run there when the late start is carried out.
+    std::optional<LateStart> lateStart;
 };
 
 struct Job {
@@ -352,6 +369,14 @@
     const char *startObstacle(const Run &run) const;
     /// Drops a run that is not on its worker. The other members of its gang can't run without it and are dropped or stopped.
     void withdraw(Run &run, Millis now, const char *reason);
+    /// Handles a run that is not on its worker although its start may have been sent. The worker refuses that start from now on.
+    void onNeverStarted(Run &run, Millis now);
+    /// True unless another member of the run's gang has ended or is being stopped.
+    static bool hasWholeGang(const Run &run);
+    /// True while a worker may have a run of the subtask that the pool does not know.
+    bool mayRunUnknown(const SubtaskId &subtask, Millis now) const;
+    /// True while the subtask may only be started on the worker of its late start.
+    bool isBoundToWorker(const Subtask &subtask, Millis now) const;
     /// Withdraws the runs that were not sent and that their workers may not get any more.
     void withdrawUnstartable(Millis now);
     bool hasRoomElsewhere(const Run &run, Millis now) const;
@@ -363,6 +388,10 @@
     static std::vector<Candidate> candidatesElsewhere(std::span<const Subtask> subtasks,
                                                       std::span<const Candidate> candidates,
                                                       const Round &round);
+    static std::optional<std::size_t> chooseBound(const LateStart &late,
+                                                  const StepSpec &step,
+                                                  std::span<const Candidate> candidates,
+                                                  const Round &round);
     std::optional<std::size_t> chooseForSuspect(
         const Subtask &subtask, const StepSpec &step, std::vector<Candidate> &candidates, Round &round, Millis now) const;
     StartOrder makeStart(Run &run, Millis now);
@@ -397,6 +426,7 @@
         SubtaskId subtask;
         int run = 0;
         Millis lastOrderAt;
+        Millis listedAt; ///< local boot clock
     };
     std::vector<UnknownRun> m_unknownRuns;
     /// Workers whose loss is recorded as an unconfirmed crash, with the subtasks that have such a record.
--- a/src/scheduling/poolorders.cpp
+++ b/src/scheduling/poolorders.cpp
@@ -127,6 +127,29 @@
     }
 }
 
+bool Pool::hasWholeGang(const Run &run)
+{
+    const auto &members = run.job->occurrences[static_cast<std::size_t>(run.occurrence)][static_cast<std::size_t>(run.step)];
+    return std::all_of(members.begin(), members.end(), [&run](const Subtask &member) {
+        return std::any_of(
+            member.runs.begin(), member.runs.end(), [&run](const auto &it) { return it->number == run.number && !it->stopRequested; });
+    });
+}
+
+void Pool::onNeverStarted(Run &run, Millis now)
+{
+    if (stepOf(run).gang && !run.stopRequested && hasWholeGang(run)) {
+        // The other members wait for this one, so it is started under the same number.
+        run.phase = RunPhase::Starting;
+        run.unsent = true;
+        run.attempts = 0;
+        run.lastOrderAt = {};
+        return;
+    }
+    subtaskOf(run).retryAt = now;
+    withdraw(run, now, "never-started");
+}
+
 void Pool::withdrawUnstartable(Millis now)
 {
     for (auto &[id, worker] : m_workers) {
--- a/tests/fakes/fakeworkers.hpp
+++ b/tests/fakes/fakeworkers.hpp
@@ -49,6 +49,8 @@
     std::set<std::string> delayed;
     Millis orderDelay{3'000};
     Millis latency{2};
+    /// Longer leases are shortened to this.
+    Millis maxLease{10'000};
     Millis restartTime{500};
     /// Workers on which runs never end by themselves.
     std::set<std::string> hanging;
@@ -127,6 +129,8 @@
     {
         return m_loop.now() - worker.bootedAt;
     }
+    /// Takes the deadline of an order over, as far as the longest lease permits. It never shortens the present lease.
+    void extendLease(FakeWorker &worker, Millis deadline);
     void updateRuns(FakeWorker &worker);
     void end(FakeWorker &worker, const SubtaskId &subtask, RunEnd how);
     OrderResult handleStart(FakeWorker &worker, const StartOrder &order);
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -203,6 +203,36 @@
     }
 }
 
+TEST_CASE("a start without an answer that reaches the restarted worker does not run beside another one")
+{
+    // Guards against starting a subtask elsewhere while its first start may still be carried out: the worker's new incarnation knows no
+    // fencing token. The owner that sent it is killed in one of the cases.
+    const bool killed = GENERATE(false, true);
+    for (int restartAt = 2'400; restartAt <= 3'000; restartAt += 50) {
+        CAPTURE(killed, restartAt);
+        JobCluster cluster(3, 1);
+        cluster.loop.advance(startupTime);
+        cluster.workers.delayed = {"w0"};
+        cluster.submit("e0", makeJob(jobId(1), {makeStep(1, 3'000, {9'000})}));
+        cluster.loop.advance({100});
+        const auto owner = cluster.owner();
+        if (killed) {
+            cluster.killEntry(owner);
+        }
+        // The second job fits only on the second worker, beside which the first one is placed then.
+        cluster.registerWorker(cluster.workers.add("w1", "pool", {16'000, 16'000, 0}));
+        cluster.submit(owner == "e1" ? "e2" : "e1", makeJob(jobId(2), {makeStep(1, 6'000, {12'000})}));
+        cluster.loop.advance({800});
+        cluster.workers.delayed.clear();
+        cluster.loop.advance({restartAt - 900});
+        cluster.workers.restart("w0");
+        cluster.loop.advance({25'000});
+        INFO(joined(cluster.workers.violations));
+        CHECK(cluster.workers.violations.empty());
+        CHECK(cluster.phaseOf(jobId(1)) == JobPhase::Completed);
+    }
+}
+
 TEST_CASE("a worker that was silent for less than its lease keeps its running work")
 {
     const auto silence = GENERATE(500, 1'500, 2'500, 3'000);
