Keep a submission under way from being stored after its job was cancelled

Cause: Intake::cancel wrote nothing for a job that it did not find, and the only condition of a submission is that its row does not exist.

Change: such a cancellation stores tombstones at all keys at which the submission could be stored, and is answered 410 after that. A submission that meets one is refused and told to come back in a minute. A cancellation whose own write gets no answer is answered 504.

Why it works: the tombstone makes the condition of the late write false, and the store decides between the two. If the submission is stored first, the cancellation conflicts, reads again and finds it.

--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -22,6 +22,8 @@
 constexpr Millis minCallTime{300};
 /// Retry delay for callers of a stopping entry; other entries can serve them.
 constexpr Millis stopRetryAfter{1'000};
+/// Retry delay for the submission of a cancelled job, which is refused again as long as the cancellation is kept.
+constexpr Millis cancelledRetryAfter{60'000};
 constexpr std::size_t idLength = 16;
 
 static bool isJobId(std::string_view text)
@@ -93,8 +95,7 @@
         return readState(std::move(shards), open);
     }
     auto attempt = std::make_shared<Attempt>();
-    attempt->shard = shards.front();
-    attempt->otherShards.assign(shards.begin() + 1, shards.end());
+    attempt->shards = std::move(shards);
     attempt->deadline = answerDeadline(call.callerTimeout);
     attempt->call = open;
     cancel(attempt);
@@ -109,9 +110,9 @@
     return shards;
 }
 
-void Intake::answerNoJob(const OpenCallPtr &call)
+void Intake::answerNoJob(const OpenCallPtr &call, bool storedElsewhere)
 {
-    if (!m_ports.knowsPools()) {
+    if (storedElsewhere || !m_ports.knowsPools()) {
         return answer(
             call,
             {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the pools of the queue have not been read recently"});
@@ -229,6 +230,11 @@
         logEvent(LogLevel::Warn,
                  isUnknown ? "job_outcome_unknown" : "job_refused",
                  {{"job", open->id}, {"shard", shard}, {"reason", result.error}});
+        if (result.outcome == WriteOutcome::Cancelled) {
+            return answer(
+                open,
+                {.kind = AnswerKind::Refused, .retryAfter = cancelledRetryAfter, .reason = "the job was cancelled before it was stored"});
+        }
         if (result.outcome == WriteOutcome::Invalid) {
             return answer(open, {.kind = AnswerKind::Invalid, .reason = "the job can't be stored: " + result.error});
         }
@@ -249,7 +255,7 @@
     });
 }
 
-void Intake::readState(std::vector<std::string> shards, const OpenCallPtr &call)
+void Intake::readState(std::vector<std::string> shards, const OpenCallPtr &call, bool storedElsewhere)
 {
     const auto shard = shards.front();
     shards.erase(shards.begin());
@@ -258,47 +264,49 @@
         logEvent(LogLevel::Warn, "state_not_read", {{"job", call->id}, {"reason", "store: " + error}});
         answer(call, {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
     };
-    m_ports.store.read({key.table, key.part, key.key, key.key + '\x01', 1},
-                       readTimeout,
-                       [this, alive = m_alive, shard, shards, call, fail](const ReadResult &result) {
-                           if (!*alive || !call->done) {
-                               return;
-                           }
-                           if (result.outcome != ReadOutcome::Answered) {
-                               return fail(result.error);
-                           }
-                           if (!result.rows.empty()) {
-                               auto outcome = decodeOutcome(result.rows.front().value);
-                               if (!outcome) {
-                                   return fail("invalid progress record");
-                               }
-                               return answer(
-                                   call, {.kind = AnswerKind::State, .phase = outcome->phase, .reason = std::move(outcome->failureReason)});
-                           }
-                           const auto submission = submissionKey(shard, call->id);
-                           m_ports.store.read({submission.table, submission.part, call->id, call->id + '\x01', 1},
-                                              readTimeout,
-                                              [this, alive, shards, call, fail](const ReadResult &row) {
-                                                  if (!*alive || !call->done) {
-                                                      return;
-                                                  }
-                                                  if (row.outcome != ReadOutcome::Answered) {
-                                                      return fail(row.error);
-                                                  }
-                                                  if (!row.rows.empty() && !decodeTombstone(row.rows.front().value)) {
-                                                      return answer(call, {.kind = AnswerKind::State, .phase = JobPhase::Queued});
-                                                  }
-                                                  if (!shards.empty()) {
-                                                      return readState(shards, call);
-                                                  }
-                                                  answerNoJob(call);
-                                              });
-                       });
+    m_ports.store.read(
+        {key.table, key.part, key.key, key.key + '\x01', 1},
+        readTimeout,
+        [this, alive = m_alive, shard, shards, call, fail, storedElsewhere](const ReadResult &result) {
+            if (!*alive || !call->done) {
+                return;
+            }
+            if (result.outcome != ReadOutcome::Answered) {
+                return fail(result.error);
+            }
+            if (!result.rows.empty()) {
+                auto outcome = decodeOutcome(result.rows.front().value);
+                if (!outcome) {
+                    return fail("invalid progress record");
+                }
+                return answer(call, {.kind = AnswerKind::State, .phase = outcome->phase, .reason = std::move(outcome->failureReason)});
+            }
+            const auto submission = submissionKey(shard, call->id);
+            m_ports.store.read({submission.table, submission.part, call->id, call->id + '\x01', 1},
+                               readTimeout,
+                               [this, alive, shards, call, fail, storedElsewhere](const ReadResult &row) {
+                                   if (!*alive || !call->done) {
+                                       return;
+                                   }
+                                   if (row.outcome != ReadOutcome::Answered) {
+                                       return fail(row.error);
+                                   }
+                                   const auto tombstone = row.rows.empty() ? std::nullopt : decodeTombstone(row.rows.front().value);
+                                   if (!row.rows.empty() && !tombstone) {
+                                       return answer(call, {.kind = AnswerKind::State, .phase = JobPhase::Queued});
+                                   }
+                                   const bool elsewhere = storedElsewhere || (tombstone && !tombstone->cancelled);
+                                   if (!shards.empty()) {
+                                       return readState(shards, call, elsewhere);
+                                   }
+                                   answerNoJob(call, elsewhere);
+                               });
+        });
 }
 
 void Intake::cancel(std::shared_ptr<Attempt> attempt)
 {
-    const auto key = submissionKey(attempt->shard, attempt->call->id);
+    const auto key = submissionKey(attempt->shards[attempt->next], attempt->call->id);
     m_ports.store.read(
         {key.table, key.part, key.key, key.key + '\x01', 1}, readTimeout, [this, alive = m_alive, attempt](const ReadResult &result) {
             if (!*alive || !attempt->call->done) {
@@ -312,34 +320,75 @@
                 return answer(attempt->call,
                               {.kind = AnswerKind::Refused, .retryAfter = storeRetryAfter, .reason = "the store did not respond"});
             }
-            if (!result.rows.empty() && !decodeTombstone(result.rows.front().value)) {
-                return storeCancellation(attempt);
+            const auto &shard = attempt->shards[attempt->next++];
+            const auto tombstone = result.rows.empty() ? std::nullopt : decodeTombstone(result.rows.front().value);
+            if (!result.rows.empty() && !tombstone) {
+                return storeCancellation(attempt, shard);
             }
-            if (attempt->otherShards.empty()) {
-                return answerNoJob(attempt->call);
+            if (!tombstone) {
+                attempt->emptyShards.push_back(shard);
             }
-            attempt->shard = attempt->otherShards.front();
-            attempt->otherShards.erase(attempt->otherShards.begin());
-            cancel(attempt);
+            attempt->storedElsewhere = attempt->storedElsewhere || (tombstone && !tombstone->cancelled);
+            if (attempt->next < attempt->shards.size()) {
+                return cancel(attempt);
+            }
+            if (attempt->storedElsewhere || attempt->emptyShards.empty()) {
+                return answerNoJob(attempt->call, attempt->storedElsewhere);
+            }
+            storeTombstones(attempt);
         });
 }
 
-void Intake::storeCancellation(const std::shared_ptr<Attempt> &attempt)
+void Intake::storeTombstones(const std::shared_ptr<Attempt> &attempt)
+{
+    const auto &call = attempt->call;
+    const auto value = encodeTombstone({.writtenAt = m_ports.clock.wall(), .cancelled = true});
+    call->write = std::make_shared<SubmissionWrite>(SubmissionWrite{.key = submissionKey(attempt->emptyShards.front(), call->id),
+                                                                    .value = value,
+                                                                    .deadline = attempt->deadline,
+                                                                    .retryUntil = attempt->deadline});
+    for (std::size_t i = 1; i < attempt->emptyShards.size(); ++i) {
+        call->write->others.push_back({submissionKey(attempt->emptyShards[i], call->id), value});
+    }
+    call->write->done = [this, attempt, call](const WriteResult &result) {
+        switch (result.outcome) {
+        case WriteOutcome::Stored:
+            logEvent(LogLevel::Info, "unknown_job_cancelled", {{"job", call->id}, {"version", result.version}});
+            return answerNoJob(call, false);
+        case WriteOutcome::KnownBefore:
+        case WriteOutcome::Cancelled:
+            // The submission, or another cancellation, was stored meanwhile.
+            attempt->next = 0;
+            attempt->emptyShards.clear();
+            return cancel(attempt);
+        default:
+            return answerNotCancelled(call, result);
+        }
+    };
+    m_writer.add(call->write);
+}
+
+void Intake::answerNotCancelled(const OpenCallPtr &call, const WriteResult &result)
+{
+    const bool isUnknown = result.outcome == WriteOutcome::Unknown;
+    logEvent(LogLevel::Warn, isUnknown ? "cancel_unknown" : "cancel_refused", {{"job", call->id}, {"reason", result.error}});
+    answer(call,
+           {.kind = isUnknown ? AnswerKind::Unknown : AnswerKind::Refused,
+            .retryAfter = storeRetryAfter,
+            .reason = "the store did not confirm the cancellation"});
+}
+
+void Intake::storeCancellation(const std::shared_ptr<Attempt> &attempt, const std::string &shard)
 {
     const auto &call = attempt->call;
     call->write = std::make_shared<SubmissionWrite>(SubmissionWrite{
-        .key = cancellationKey(attempt->shard, call->id), .value = "1", .deadline = attempt->deadline, .retryUntil = attempt->deadline});
-    call->write->done = [this, call, shard = attempt->shard](const WriteResult &result) {
+        .key = cancellationKey(shard, call->id), .value = "1", .deadline = attempt->deadline, .retryUntil = attempt->deadline});
+    call->write->done = [this, call, shard](const WriteResult &result) {
         if (result.outcome == WriteOutcome::Stored || result.outcome == WriteOutcome::KnownBefore) {
             logEvent(LogLevel::Info, "cancel_accepted", {{"job", call->id}, {"shard", shard}, {"version", result.version}});
             return answer(call, {.kind = AnswerKind::Done});
         }
-        const bool isUnknown = result.outcome == WriteOutcome::Unknown;
-        logEvent(LogLevel::Warn, isUnknown ? "cancel_unknown" : "cancel_refused", {{"job", call->id}, {"reason", result.error}});
-        answer(call,
-               {.kind = isUnknown ? AnswerKind::Unknown : AnswerKind::Refused,
-                .retryAfter = storeRetryAfter,
-                .reason = "the store did not confirm the cancellation"});
+        answerNotCancelled(call, result);
     };
     m_writer.add(call->write);
 }
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -122,9 +122,14 @@
 
     /// A cancellation that looks for its job.
     struct Attempt {
-        std::string shard;
-        /// Shards in which the job is looked for after `shard`.
-        std::vector<std::string> otherShards;
+        /// All shards that may have the job.
+        std::vector<std::string> shards;
+        /// Index of the shard that is read next.
+        std::size_t next = 0;
+        /// Shards that were read and have no row of the job.
+        std::vector<std::string> emptyShards;
+        /// A tombstone shows that the job is stored in a shard that was not read.
+        bool storedElsewhere = false;
         Millis deadline;
         OpenCallPtr call;
     };
@@ -134,16 +139,19 @@
     /// Checks the job and stores it once its queue's pool is recorded.
     void submit(const Queue &queue, Call call, const OpenCallPtr &open);
     void store(const Queue &queue, JobSpec spec, Millis deadline, const OpenCallPtr &open);
-    /// Answers that no shard has the job.
-    void answerNoJob(const OpenCallPtr &call);
+    /// Answers that no shard has the job, unless it may be stored in a pool that this entry does not know yet.
+    void answerNoJob(const OpenCallPtr &call, bool storedElsewhere);
     /// Latest time (boot clock) at which a call with this timeout is answered.
     Millis answerDeadline(Millis callerTimeout) const;
     void answer(const OpenCallPtr &call, Answer answer);
     void answerOpenCalls();
     /// Reads the job's state from the first of the shards that has it.
-    void readState(std::vector<std::string> shards, const OpenCallPtr &call);
+    void readState(std::vector<std::string> shards, const OpenCallPtr &call, bool storedElsewhere = false);
     void cancel(std::shared_ptr<Attempt> attempt);
-    void storeCancellation(const std::shared_ptr<Attempt> &attempt);
+    void storeCancellation(const std::shared_ptr<Attempt> &attempt, const std::string &shard);
+    /// Cancels a job that is not stored: its submission may still be under way, and must not be stored later.
+    void storeTombstones(const std::shared_ptr<Attempt> &attempt);
+    void answerNotCancelled(const OpenCallPtr &call, const WriteResult &result);
     void retryLater(const std::shared_ptr<Attempt> &attempt, void (Intake::*retry)(std::shared_ptr<Attempt>));
 
     Ports m_ports;
--- a/src/intake/submissionwriter.cpp
+++ b/src/intake/submissionwriter.cpp
@@ -3,9 +3,11 @@
 
 #include "helpers/ids.hpp"
 #include "helpers/log.hpp"
+#include "shards/rows.hpp"
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 namespace hibiscusbridge::jobs
 {
@@ -175,6 +177,21 @@
     refuseLate(part, result.error);
 }
 
+/// True if one of the rows, or that of another write with it, is the tombstone of a cancellation.
+static bool isCancelled(const SubmissionWrite &write, std::span<const Row> current)
+{
+    return std::any_of(current.begin(), current.end(), [&write](const Row &row) {
+        const auto isRow = [&row](const RowKey &key) {
+            return row.key.part == key.part && row.key.key == key.key;
+        };
+        if (!isRow(write.key) && std::none_of(write.others.begin(), write.others.end(), [&](const RowPut &it) { return isRow(it.key); })) {
+            return false;
+        }
+        const auto tombstone = decodeTombstone(row.value);
+        return row.version != 0 && tombstone && tombstone->cancelled;
+    });
+}
+
 void SubmissionWriter::settle(Part &part, const Group &group, const CommitResult &result)
 {
     part.backoff = {0};
@@ -192,9 +209,8 @@
     }
     part.waiting.insert(part.waiting.begin(), again.begin(), again.end());
     for (const auto &it : answered) {
-        answer(*it,
-               {.outcome = result.outcome == CommitOutcome::Applied ? WriteOutcome::Stored : WriteOutcome::KnownBefore,
-                .version = result.version});
+        const auto conflict = isCancelled(*it, result.current) ? WriteOutcome::Cancelled : WriteOutcome::KnownBefore;
+        answer(*it, {.outcome = result.outcome == CommitOutcome::Applied ? WriteOutcome::Stored : conflict, .version = result.version});
     }
 }
 
--- a/src/intake/submissionwriter.hpp
+++ b/src/intake/submissionwriter.hpp
@@ -19,6 +19,8 @@
     Stored,
     /// The row was there already.
     KnownBefore,
+    /// The row has not been written: its job was cancelled before it was stored.
+    Cancelled,
     /// The row has not been written and will not be.
     Refused,
     /// The store does not take the row; it has not been written and a repetition has the same result.
--- a/src/shards/rows.cpp
+++ b/src/shards/rows.cpp
@@ -49,7 +49,7 @@
 // A stored job is a JSON array.
 std::string encodeTombstone(const Tombstone &tombstone)
 {
-    return Json{{"tombstone", true}, {"written_at", tombstone.writtenAt.count}}.dump();
+    return Json{{"tombstone", tombstone.cancelled ? "cancelled" : "stored-elsewhere"}, {"written_at", tombstone.writtenAt.count}}.dump();
 }
 
 std::optional<Tombstone> decodeTombstone(std::string_view text)
@@ -61,7 +61,7 @@
     if (!json.is_object() || !json.contains("tombstone")) {
         return std::nullopt;
     }
-    return Tombstone{.writtenAt = {numberOf(json, "written_at")}};
+    return Tombstone{.writtenAt = {numberOf(json, "written_at")}, .cancelled = textOf(json, "tombstone") == "cancelled"};
 }
 
 std::string_view progressJob(std::string_view key)
--- a/src/shards/rows.hpp
+++ b/src/shards/rows.hpp
@@ -25,6 +25,8 @@
 struct Tombstone {
     /// Unix milliseconds.
     Millis writtenAt;
+    /// The job was cancelled before it was stored. Otherwise it is stored in another pool.
+    bool cancelled = false;
 };
 
 std::string encodeTombstone(const Tombstone &tombstone);
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -540,6 +540,64 @@
     CHECK(cluster.workers.runningOf(jobId(1)) == 0);
 }
 
+TEST_CASE("a job that was cancelled while its submission was under way never runs")
+{
+    // Guards against a cancellation that finds no job and leaves nothing that would keep a late write from taking effect.
+    const auto cells = GENERATE(1, 3);
+    const bool longRunning = GENERATE(false, true);
+    const auto cancelAt = GENERATE(10, 400, 1'000, 1'900, 2'900);
+    CAPTURE(cells, longRunning, cancelAt);
+    JobCluster cluster(3, 6, cells);
+    auto spec = makeJob(jobId(1), {makeStep(2, 1'000, {5'000})});
+    spec.steps[0].longRunning = longRunning;
+    cluster.loop.advance(startupTime);
+    cluster.store.loseResponseEvery = 1;
+    cluster.store.loss = FakeStore::Loss::AppliedLater;
+    cluster.submit("e0", spec);
+    cluster.loop.advance({cancelAt});
+    cluster.store.loss = FakeStore::Loss::None;
+    cluster.cancel("e1", jobId(1));
+    cluster.cancel("e2", jobId(1));
+    cluster.loop.advance({100});
+    for (const auto &it : {"cancel " + jobId(1)}) {
+        REQUIRE(cluster.answers.contains(it));
+        CHECK((cluster.answers[it].kind == AnswerKind::NoJob || cluster.answers[it].kind == AnswerKind::Done));
+    }
+    cluster.loop.advance({4'000});
+    CHECK(cluster.workers.runningOf(jobId(1)) == 0);
+    const auto state = cluster.readState("e2", jobId(1));
+    CHECK((state.kind == AnswerKind::NoJob || state.phase == JobPhase::Cancelled));
+    // A copy of the submission is refused, or answered as one of a job that is known and cancelled.
+    cluster.submit("e1", spec);
+    cluster.loop.advance({10'000});
+    CHECK((cluster.answers[jobId(1)].kind == AnswerKind::Refused || state.kind == AnswerKind::State));
+    CHECK(cluster.workers.runningOf(jobId(1)) == 0);
+    CHECK_FALSE((state.kind == AnswerKind::NoJob && cluster.workers.hasStarted(jobId(1))));
+}
+
+TEST_CASE("a cancellation that finds no job and whose own write gets no answer is not acknowledged")
+{
+    JobCluster cluster(2, 2);
+    cluster.loop.advance(startupTime);
+    cluster.store.loseResponseEvery = 1;
+    cluster.store.loss = GENERATE(FakeStore::Loss::Applied, FakeStore::Loss::AppliedLater);
+    cluster.cancel("e0", jobId(1));
+    cluster.loop.advance({4'000});
+    CHECK(cluster.answers["cancel " + jobId(1)].kind == AnswerKind::Unknown);
+    cluster.store.loss = FakeStore::Loss::None;
+    cluster.cancel("e1", jobId(1));
+    cluster.loop.advance({1'000});
+    CHECK(cluster.answers["cancel " + jobId(1)].kind == AnswerKind::NoJob);
+    CHECK(cluster.readState("e0", jobId(1)).kind == AnswerKind::NoJob);
+    cluster.submit("e0", twoStepJob(1));
+    cluster.loop.advance({3'000});
+    CHECK(cluster.answers[jobId(1)].kind == AnswerKind::Refused);
+    CHECK_FALSE(cluster.workers.hasStarted(jobId(1)));
+    // The cancellation is forgotten as a cancelled job is.
+    cluster.loop.advance({200'000});
+    CHECK(cluster.store.value(submissionKey("pool", jobId(1))).empty());
+}
+
 static unsigned envNumber(const char *name, unsigned fallback)
 {
     const char *const text = std::getenv(name);
