Wait for the longest lease where an order may have met a later incarnation of its worker

Cause: a lease is a deadline on the worker's clock, and that clock starts anew with each incarnation. A deadline that was meant for the former one is cut to the longest lease, 10 s, by the next. Pool took every lease to end 5 s after its last order: onRestarted kept the former expiry, and a worker that was not heard after its restart was treated like one that had not restarted.

Change: a worker has a second bound, for an incarnation that the owner has not heard of: the longest lease, counted from the last order. It applies to runs whose start is not confirmed by a known incarnation, becomes the bound of a new incarnation when it is heard of, and applies after a take-over to recorded runs of a silent or just restarted worker. An answer to a start or a stop whose clock does not fit the known incarnation confirms nothing.

Conclusion: the wait is longer, 11.3 s after the last order instead of 5.1 s, only for runs that no incarnation has confirmed and for workers in the first seconds after a restart.

--- a/src/scheduling/decisions.cpp
+++ b/src/scheduling/decisions.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/pool.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hibiscusbridge::jobs
 {
@@ -43,11 +44,16 @@
         if (worker->runs.empty() || isReachable(*worker) || now <= worker->incarnation.leaseExpiry) {
             continue;
         }
+        std::vector<Run *> expired;
+        std::copy_if(worker->runs.begin(), worker->runs.end(), std::back_inserter(expired), [now](const Run *it) {
+            return it->phase != RunPhase::Placed && it->phase != RunPhase::Committing && now > expiryOf(*it);
+        });
+        if (expired.empty()) {
+            continue;
+        }
         onWorkerLost(*worker, worker->runs, worker->incarnation.answeredAt, false, now);
-        for (Run *const it : std::vector<Run *>(worker->runs)) {
-            if (it->phase != RunPhase::Placed && it->phase != RunPhase::Committing) {
-                dropRun(*it, now, "lease-over");
-            }
+        for (Run *const it : expired) {
+            dropRun(*it, now, "lease-over");
         }
     }
     withdrawUnstartable(now);
--- a/src/scheduling/incarnation.hpp
+++ b/src/scheduling/incarnation.hpp
@@ -16,7 +16,7 @@
     Millis clockAtAnswer; ///< worker's steady clock
     Millis answeredAt; ///< local boot clock
     Millis listedAt; ///< local boot clock: last list, which also carries the incarnation
-    Millis leaseExpiry; ///< local boot clock: all runs have ended by then unless the lease is extended
+    Millis leaseExpiry; ///< local boot clock: the runs that it is known to have have ended by then unless the lease is extended
     std::int64_t lastProcessedEnd = 0; ///< highest end number processed
     std::int64_t ackCursor = 0; ///< ends up to this number are committed
     std::int64_t ackInFlight = 0;
@@ -28,6 +28,9 @@
 /// Lower bound of the worker's steady clock at `now` (local boot clock). The worker must have responded.
 Millis earliestClock(const Incarnation &incarnation, Millis now);
 
+/// False if an answer with this reading of the worker's steady clock, to a call that was sent at `sentAt`, is one of another incarnation.
+bool mayHaveAnswered(const Incarnation &incarnation, Millis clock, Millis sentAt, Millis now);
+
 /// Upper bound, on the local clock, of a lease that lasts `lease` on a worker's clock.
 Millis longestLease(Millis lease);
 
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -99,9 +99,7 @@
                     for (const auto &it : known.runs) {
                         auto &worker = m_workers[it.workerId];
                         if (!worker) {
-                            worker = std::make_unique<Worker>();
-                            worker->entry.id = it.workerId;
-                            worker->incarnation.leaseExpiry = now + m_times.previousOwnerLease;
+                            worker = makeWorker(it.workerId, now);
                         }
                         auto &run = addRun(job, k, static_cast<int>(s), static_cast<int>(i), it.number, *worker);
                         run.phase = RunPhase::Inherited;
@@ -123,6 +121,15 @@
     return true;
 }
 
+std::unique_ptr<Worker> Pool::makeWorker(const std::string &id, Millis now) const
+{
+    auto worker = std::make_unique<Worker>();
+    worker->entry.id = id;
+    worker->incarnation.leaseExpiry = now + m_times.previousOwnerLease;
+    worker->laterLeaseExpiry = std::max(worker->incarnation.leaseExpiry, laterLeaseExpiryAt(now));
+    return worker;
+}
+
 Run &Pool::addRun(Job &job, int occurrence, int step, int index, int number, Worker &worker)
 {
     auto owned = std::make_unique<Run>();
@@ -246,8 +253,7 @@
     for (const auto &entry : entries) {
         auto &worker = m_workers[entry.id];
         if (!worker) {
-            worker = std::make_unique<Worker>();
-            worker->incarnation.leaseExpiry = now + m_times.previousOwnerLease;
+            worker = makeWorker(entry.id, now);
         }
         if (worker->synced && entry.incarnationStart != 0 && worker->incarnation.startedAt != 0
             && entry.incarnationStart != worker->incarnation.startedAt) {
@@ -292,11 +298,26 @@
     return std::clamp(m_leaseLimit - now, Millis{0}, m_times.lease);
 }
 
+Millis Pool::laterLeaseExpiryAt(Millis now) const
+{
+    return now + m_times.orderArrival + longestLease(m_times.maxLease);
+}
+
+Millis Pool::expiryOf(const Run &run)
+{
+    const auto &worker = *run.worker;
+    // Only the incarnation that has responded is known to have a running run. The start of another one may have met a later incarnation.
+    const bool isConfirmed = run.phase == RunPhase::Running && run.unansweredStartAt.count == 0;
+    return isConfirmed ? worker.incarnation.leaseExpiry : std::max(worker.incarnation.leaseExpiry, worker.laterLeaseExpiry);
+}
+
 void Pool::onHoldSent(const std::string &workerId, Millis now)
 {
     if (const auto it = m_workers.find(workerId); it != m_workers.end()) {
-        auto &incarnation = it->second->incarnation;
+        auto &worker = *it->second;
+        auto &incarnation = worker.incarnation;
         incarnation.leaseExpiry = std::max(incarnation.leaseExpiry, now + longestLease(leaseLength(now)));
+        worker.laterLeaseExpiry = std::max(worker.laterLeaseExpiry, laterLeaseExpiryAt(now));
     }
 }
 
@@ -375,7 +396,7 @@
                           .clockAtAnswer = former.clockAtAnswer,
                           .answeredAt = former.answeredAt,
                           .listedAt = former.listedAt,
-                          .leaseExpiry = former.leaseExpiry};
+                          .leaseExpiry = worker.laterLeaseExpiry};
     ++worker.epoch;
     for (Run *const it : std::vector<Run *>(worker.runs)) {
         if (it->incarnationStart == result.incarnationStart) {
@@ -394,6 +415,12 @@
     }
 }
 
+bool Pool::mayHaveOrdersOfFormer(const Worker &worker, Millis clock) const
+{
+    const bool isYoung = clock < m_times.restartDetection + longestLease(m_times.maxLease);
+    return isYoung && std::any_of(worker.runs.begin(), worker.runs.end(), [](const Run *it) { return it->phase == RunPhase::Inherited; });
+}
+
 void Pool::onHold(
     const std::string &workerId, std::uint64_t renewalFence, const RenewResult &result, Millis sentAt, Millis now, Millis wall)
 {
@@ -432,6 +459,8 @@
     const auto incarnationStart = result.incarnationStart != 0 ? result.incarnationStart : worker.entry.incarnationStart;
     if (worker.incarnation.startedAt != 0 && incarnationStart != worker.incarnation.startedAt) {
         onRestarted(worker, result, lastResponse, now);
+    } else if (worker.incarnation.startedAt == 0 && mayHaveOrdersOfFormer(worker, result.workerClock)) {
+        worker.incarnation.leaseExpiry = std::max(worker.incarnation.leaseExpiry, worker.laterLeaseExpiry);
     }
     worker.incarnation.startedAt = incarnationStart;
     settleCrashes(workerId, incarnationStart);
@@ -618,6 +647,12 @@
     return outcome != OrderOutcome::Accepted && outcome != OrderOutcome::Unknown && outcome != OrderOutcome::NotSent;
 }
 
+/// True if a worker has answered the order.
+static bool hasResponse(const OrderResult &result)
+{
+    return result.outcome != OrderOutcome::Unknown && result.outcome != OrderOutcome::NotSent;
+}
+
 void Pool::onStart(const StartOrder &order, const OrderResult &result, Millis now)
 {
     const auto found = m_workers.find(order.worker.id);
@@ -625,10 +660,23 @@
         return;
     }
     auto &worker = *found->second;
+    const Run *const sent = findRun(worker, order.subtask, order.run);
+    if (sent && hasResponse(result) && !mayHaveAnswered(worker.incarnation, result.workerClock, sent->lastOrderAt, now)) {
+        // Another incarnation than the one that the order was meant for: the next list shows what it did.
+        logEvent(LogLevel::Warn,
+                 "start_met_other_incarnation",
+                 {{"subtask", toString(order.subtask)},
+                  {"run", order.run},
+                  {"worker", order.worker.id},
+                  {"outcome", nameOf(result.outcome)},
+                  {"clock_ms", result.workerClock.count},
+                  {"expected_ms", earliestClock(worker.incarnation, now).count}});
+        return onStart(order, {.outcome = OrderOutcome::Unknown, .error = "answer of another incarnation"}, now);
+    }
     if (result.outcome == OrderOutcome::Unknown) {
         worker.unreachableSince = worker.misses++ == 0 ? now : worker.unreachableSince;
         worker.epoch += order.fence == fenceAt(order.worker.id) ? 1 : 0;
-    } else if (result.outcome != OrderOutcome::NotSent) {
+    } else if (hasResponse(result)) {
         recordResponse(worker, result.workerClock, now);
     }
     Run *const run = findRun(worker, order.subtask, order.run);
@@ -690,15 +738,15 @@
     if (found == m_workers.end()) {
         return;
     }
-    if (result.outcome != OrderOutcome::Unknown && result.outcome != OrderOutcome::NotSent) {
-        recordResponse(*found->second, result.workerClock, now);
-    }
     Run *const run = findRun(*found->second, order.subtask, order.run);
-    if (!run) {
+    if (run) {
+        run->orderInFlight = false;
+    }
+    if (!hasResponse(result) || (run && !mayHaveAnswered(found->second->incarnation, result.workerClock, run->lastStopAt, now))) {
         return;
     }
-    run->orderInFlight = false;
-    if (result.outcome != OrderOutcome::Accepted) {
+    recordResponse(*found->second, result.workerClock, now);
+    if (!run || result.outcome != OrderOutcome::Accepted) {
         return;
     }
     run->stopAccepted = true;
--- a/src/scheduling/pool.hpp
+++ b/src/scheduling/pool.hpp
@@ -42,6 +42,10 @@
     Millis lateStartTime{6'000};
     /// Upper bound of a lease, by the clock of the worker, which shortens longer ones.
     Millis maxLease{10'000};
+    /// An order reaches its worker within this time, unless it is carried out late.
+    Millis orderArrival{1'000};
+    /// An owner learns within this time that a worker has restarted, or sends it no more orders.
+    Millis restartDetection{4'000};
     /// A worker that refused a start or lists an unknown run gets no new work for this long.
     Millis refusalBackoff{1'000};
     /// A long-running subtask counts as available after it was listed at 100 % for this long. Listed progress is rounded, so
@@ -169,6 +173,9 @@
     /// The current incarnation has accepted a renewal with this owner's fencing token.
     bool synced = false;
     Incarnation incarnation; ///< the one that responded last
+    /// Local boot clock: a later incarnation that has taken an order for the present one has ended its runs by then. The deadline of
+    /// such an order lies far ahead on its clock, so that its lease is the longest that a worker grants.
+    Millis laterLeaseExpiry;
     Millis backoffUntil;
     /// Consecutive renewals and starts without a response.
     int misses = 0;
@@ -324,6 +331,14 @@
     struct Round;
 
     Millis leaseLength(Millis now) const;
+    /// Upper bound of `Worker::laterLeaseExpiry` if the last order is sent now.
+    Millis laterLeaseExpiryAt(Millis now) const;
+    /// Whether a worker that this owner hears of for the first time may have taken orders of the previous owner for a former incarnation.
+    bool mayHaveOrdersOfFormer(const Worker &worker, Millis clock) const;
+    /// When the run has ended for certain if its worker stays silent.
+    static Millis expiryOf(const Run &run);
+    /// Creates the worker, with the leases that a previous owner may have granted.
+    std::unique_ptr<Worker> makeWorker(const std::string &id, Millis now) const;
     double durationRatio(const JobSpec &spec) const;
     std::int64_t remainingWork(const Job &job) const;
     Subtask &subtaskOf(const Run &run) const;
