Ignore late answers of a worker's former incarnation

A worker had restarted under its id, and the late answer of its former incarnation to a probe was taken for another restart.

Cause: Pool::onHold took each answer with another start time for a newer incarnation, in the order of arrival, and took over its list of ends and its clock.

Change: an answer of an earlier start, to a call that was sent before the first answer of the known incarnation, is ignored.

Why it works: a call that was sent after the first answer of an incarnation can't have reached a former one. Of calls sent before, the start time decides, so that a wall clock that was set back does not hide a restart.

--- a/src/scheduling/incarnation.cpp
+++ b/src/scheduling/incarnation.cpp
@@ -16,6 +16,11 @@
     return incarnation.clockAtAnswer + (now - incarnation.answeredAt) * (100 - clockErrorPercent) / 100;
 }
 
+bool isFormer(const Incarnation &incarnation, std::int64_t startedAt, Millis sentAt)
+{
+    return startedAt < incarnation.startedAt && sentAt <= incarnation.firstListedAt;
+}
+
 bool mayHaveAnswered(const Incarnation &incarnation, Millis clock, Millis sentAt, Millis now)
 {
     if (clock.count == 0 || incarnation.answeredAt.count == 0) {
--- a/src/scheduling/incarnation.hpp
+++ b/src/scheduling/incarnation.hpp
@@ -13,6 +13,7 @@
 
 struct Incarnation {
     std::int64_t startedAt = 0; ///< Unix milliseconds; 0 until it has responded
+    Millis firstListedAt; ///< local boot clock: a call that was sent later reached this incarnation or a newer one
     Millis clockAtAnswer; ///< worker's steady clock
     Millis answeredAt; ///< local boot clock
     Millis listedAt; ///< local boot clock: last list, which also carries the incarnation
@@ -28,6 +29,10 @@
 /// Lower bound of the worker's steady clock at `now` (local boot clock). The worker must have responded.
 Millis earliestClock(const Incarnation &incarnation, Millis now);
 
+/// True if the answer of the incarnation that started at `startedAt`, to a call that was sent at `sentAt`, comes from before a restart that
+/// is known already. The worker's wall clock may have been set back at a restart, so an earlier start alone proves nothing.
+bool isFormer(const Incarnation &incarnation, std::int64_t startedAt, Millis sentAt);
+
 /// False if an answer with this reading of the worker's steady clock, to a call that was sent at `sentAt`, is one of another incarnation.
 bool mayHaveAnswered(const Incarnation &incarnation, Millis clock, Millis sentAt, Millis now);
 
--- a/src/scheduling/pool.cpp
+++ b/src/scheduling/pool.cpp
@@ -450,18 +450,26 @@
         }
         return;
     }
+    const auto incarnationStart = result.incarnationStart != 0 ? result.incarnationStart : worker.entry.incarnationStart;
+    if (isFormer(worker.incarnation, incarnationStart, sentAt)) {
+        return logEvent(LogLevel::Info,
+                        "former_incarnation_ignored",
+                        {{"pool", m_name}, {"worker", workerId}, {"born", incarnationStart}, {"sent_ms_ago", (now - sentAt).count}});
+    }
     if (worker.misses > 0) {
         logEvent(LogLevel::Info, "worker_reachable", {{"pool", m_name}, {"worker", workerId}, {"misses", worker.misses}});
     }
     const auto lastResponse = worker.incarnation.answeredAt;
     recordResponse(worker, result.workerClock, now);
     worker.incarnation.listedAt = now;
-    const auto incarnationStart = result.incarnationStart != 0 ? result.incarnationStart : worker.entry.incarnationStart;
     if (worker.incarnation.startedAt != 0 && incarnationStart != worker.incarnation.startedAt) {
         onRestarted(worker, result, lastResponse, now);
     } else if (worker.incarnation.startedAt == 0 && mayHaveOrdersOfFormer(worker, result.workerClock)) {
         worker.incarnation.leaseExpiry = std::max(worker.incarnation.leaseExpiry, worker.laterLeaseExpiry);
     }
+    if (worker.incarnation.firstListedAt.count == 0) {
+        worker.incarnation.firstListedAt = now;
+    }
     worker.incarnation.startedAt = incarnationStart;
     settleCrashes(workerId, incarnationStart);
     for (const auto &it : result.ended) {
--- a/tests/unit/incarnation_test.cpp
+++ b/tests/unit/incarnation_test.cpp
@@ -176,6 +176,48 @@
     CHECK(sim.now - takenOverAt < longestRun + Millis{2'500});
 }
 
+TEST_CASE("the late answer of a former incarnation changes nothing")
+{
+    // Guards against taking it for another restart, which drops the runs at work, and against processing its list of ends.
+    TwoWorkers sim;
+    const auto heldUpSince = sim.now;
+    sim.now += Millis{1'000};
+    sim.restartedAt = sim.now - Millis{100};
+    sim.isRestarted = true;
+    sim.list();
+    sim.pool.addJob(sim.spec, std::nullopt, sim.now, sim.now);
+    const auto starts = sim.starts();
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].worker.id == "w");
+    sim.pool.onStart(starts[0], {.outcome = OrderOutcome::Accepted, .workerClock = sim.clockOf("w")}, sim.now);
+    sim.listsRun = true;
+    sim.now += Millis{900};
+    sim.list();
+    const auto deadline = sim.pool.deadlineFor(*sim.pool.workers().at("w"), sim.now);
+    const auto fence = sim.pool.fenceAt("w");
+    RenewResult late{.outcome = OrderOutcome::Accepted, .workerClock = {60'500}, .incarnationStart = firstBorn};
+    late.ended = {{.number = 1, .subtask = {jobId(9), 0, 0, 0}, .run = 1, .end = RunEnd::Done}};
+    sim.pool.onHold("w", fence, late, heldUpSince, sim.now, sim.now);
+    const auto &worker = *sim.pool.workers().at("w");
+    CHECK(worker.incarnation.startedAt == secondBorn);
+    CHECK(worker.incarnation.lastProcessedEnd == 0);
+    CHECK(sim.pool.fenceAt("w") == fence);
+    CHECK(sim.pool.deadlineFor(worker, sim.now) == deadline);
+    REQUIRE(worker.runs.size() == 1);
+    sim.growOther();
+    CHECK(sim.starts().empty());
+    sim.list();
+    CHECK(sim.starts().empty());
+}
+
+TEST_CASE("a restart is recognised although the wall clock of the worker was set back")
+{
+    TwoWorkers sim;
+    sim.now += Millis{1'000};
+    sim.pool.onHold("w", sim.pool.fenceAt("w"), {OrderOutcome::Accepted, {100}, firstBorn - 1}, sim.now, sim.now, sim.now);
+    CHECK(sim.pool.workers().at("w")->incarnation.startedAt == firstBorn - 1);
+}
+
 TEST_CASE("workers that restart under their id and are cut off soon after run nothing twice")
 {
     // A start that is under way at the restart is carried out by the new incarnation. The owner learns of that and is cut off from the
