Do not count a tombstone as a stored submission in the stand-in of the store

The check is as strict as before for jobs: one that was refused and is stored fails it, and so does one that was accepted while only a tombstone is stored.

--- a/tests/standins/store.cpp
+++ b/tests/standins/store.cpp
@@ -1,12 +1,15 @@
 // Stand-in of the platform's transactional store and of an empty VM list over HTTP, with faults switched on by requests.
-// POST /control {"partMs":n,"silentTables":"prefix","lateMs":n,"silent":bool,"refuse":bool}; the answer lists the keys of all submissions.
+// POST /control {"partMs":n,"silentTables":"prefix","lateMs":n,"silent":bool,"refuse":bool}; the answer lists the keys of all submissions
+// and cancellations. A tombstone is no submission.
 #include "adapters/httpserver.hpp"
 #include "helpers/url.hpp"
+#include "shards/rows.hpp"
 
 #include <charconv>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <sodium.h>
 #include <tuple>
 
 using namespace hibiscusbridge;
@@ -22,6 +25,23 @@
 
 using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
 
+/// Returns an empty text for one that is not base64.
+std::string fromBase64(const std::string &text)
+{
+    std::string out(text.size(), '\0');
+    std::size_t size = 0;
+    const int result = sodium_base642bin(reinterpret_cast<unsigned char *>(out.data()),
+                                         out.size(),
+                                         text.data(),
+                                         text.size(),
+                                         nullptr,
+                                         &size,
+                                         nullptr,
+                                         sodium_base64_VARIANT_ORIGINAL);
+    out.resize(result == 0 ? size : 0);
+    return out;
+}
+
 struct StoredRow {
     std::string value;
     std::uint64_t version = 0;
@@ -181,7 +201,7 @@
     }
     json submissions = json::array();
     for (const auto &[key, row] : store.rows) {
-        if (std::get<0>(key).starts_with(submissionTablePrefix) && !row.removed) {
+        if (std::get<0>(key).starts_with(submissionTablePrefix) && !row.removed && !jobs::decodeTombstone(fromBase64(row.value))) {
             submissions.push_back(std::get<2>(key));
         }
     }
